--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,14 +4,14 @@
 cd "$(dirname "$0")/.."
 build=${BUILD:-build/release}
 folders=("$@")
-[ "${#folders[@]}" -gt 0 ] || folders=(src tests)
+[ "${#folders[@]}" -gt 0 ] || folders=(src platform tests)
 mapfile -t files < <(find "${folders[@]}" \( -name '*.cc' -o -name '*.h' \) -not -name '*.pb.*' | sort)
 clang-format --dry-run --Werror "${files[@]}"
 mapfile -t units < <(printf '%s\n' "${files[@]}" | grep '\.cc$' || true)
 # A file whose text and included project headers were clean before is not checked again.
 cache=${LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/mulberry-lint}
 mkdir -p "$cache"
-all=$(find src tests -name '*.h' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum | cut -c1-32)
+all=$(find src platform tests -name '*.h' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum | cut -c1-32)
 check() {
   key=$(cat "$1" | sha256sum | cut -c1-32)
   [ -e "$cache/$all-$key" ] && return 0
--- a/src/libbase/base.h
+++ b/src/libbase/base.h
@@ -5,4 +5,5 @@
 #include "libbase/hash.h"   // IWYU pragma: export
 #include "libbase/ids.h"    // IWYU pragma: export
 #include "libbase/log.h"    // IWYU pragma: export
+#include "libbase/text.h"   // IWYU pragma: export
 #include "libbase/units.h"  // IWYU pragma: export
--- a/src/libbase/log.cc
+++ b/src/libbase/log.cc
@@ -1,10 +1,16 @@
 #include "libbase/log.h"
 
+#include <fcntl.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
+#include <memory>
+#include <mutex>
+#include <utility>
 
 namespace mulberry {
 namespace {
@@ -46,14 +52,57 @@
   return out;
 }
 
+/// Keeps lines until they are flushed, and never waits for the reader of standard output.
+class BufferedStdoutSink : public spdlog::sinks::base_sink<std::mutex> {
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    if (buffer_.size() > kMostBufferedBytes) {
+      ++dropped_;
+      return;
+    }
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    buffer_.append(line.data(), line.size());
+  }
+
+  void flush_() override {
+    std::size_t written = 0;
+    while (written < buffer_.size()) {
+      const auto sent = ::write(STDOUT_FILENO, buffer_.data() + written, buffer_.size() - written);
+      if (sent <= 0) break;
+      written += static_cast<std::size_t>(sent);
+    }
+    buffer_.erase(0, written);
+    if (dropped_ > 0 && buffer_.size() < kMostBufferedBytes) {
+      buffer_ += fmt::format("event=log_lines_dropped count={}\n", std::exchange(dropped_, 0));
+    }
+  }
+
+ private:
+  /// At a flush every 200 ms, 320 KB a second.
+  static constexpr std::size_t kMostBufferedBytes = 64 * 1024;
+
+  std::string buffer_;
+  std::uint64_t dropped_ = 0;
+};
+
+std::shared_ptr<spdlog::logger> MakeLogger(const std::string& process, LogOutput output) {
+  if (output == LogOutput::kStderr) {
+    auto logger = spdlog::stderr_logger_mt(process);
+    logger->flush_on(spdlog::level::info);
+    return logger;
+  }
+  ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  return std::make_shared<spdlog::logger>(process, std::make_shared<BufferedStdoutSink>());
+}
+
 }  // namespace
 
-void ConfigureLog(LogLevel least, std::string_view process) {
-  auto logger = spdlog::stderr_logger_mt(std::string(process));
+void ConfigureLog(LogLevel least, std::string_view process, LogOutput output) {
+  auto logger = MakeLogger(std::string(process), output);
   logger->set_level(ToSpdlog(least));
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=%n %v",
                       spdlog::pattern_time_type::utc);
-  logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(std::move(logger));
 }
 
@@ -88,4 +137,6 @@
   spdlog::default_logger_raw()->log(spdlog_level, "{}", FormatLogLine(event, fields));
 }
 
+void FlushLog() { spdlog::default_logger_raw()->flush(); }
+
 }  // namespace mulberry
--- a/src/libbase/log.h
+++ b/src/libbase/log.h
@@ -27,9 +27,19 @@
   std::string value;
 };
 
+/// Where lines go.
+enum class LogOutput {
+  kStderr,          ///< Each line at once; a reader that stalls stalls the process.
+  kBufferedStdout,  ///< At FlushLog, without ever waiting for the reader; see FlushLog.
+};
+
 /// Sets the least severity that is written and the name of the process for each line.
 /// Precondition: called once, before other threads log.
-void ConfigureLog(LogLevel least, std::string_view process);
+void ConfigureLog(LogLevel least, std::string_view process, LogOutput output = LogOutput::kStderr);
+
+/// Writes what is buffered as far as the reader takes it. Lines beyond the buffer's size are
+/// dropped, and a later line says how many. Thread safety: any thread.
+void FlushLog();
 
 /// Parses "debug", "info", "warning" or "error"; returns false for any other text.
 bool ParseLogLevel(std::string_view text, LogLevel* level);
--- a/src/libconfig/config.h
+++ b/src/libconfig/config.h
@@ -4,5 +4,6 @@
 #include "libconfig/change_publisher.h"  // IWYU pragma: export
 #include "libconfig/fold.h"              // IWYU pragma: export
 #include "libconfig/follower.h"          // IWYU pragma: export
+#include "libconfig/ini_parser.h"        // IWYU pragma: export
 #include "libconfig/settings.h"          // IWYU pragma: export
 #include "libconfig/state.h"             // IWYU pragma: export
--- /dev/null
+++ b/src/libgateway/caller_session.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "libbase/base.h"
+#include "libgateway/http_reader.h"
+#include "libgateway/types.h"
+#include "libtransport/tcp_acceptor.h"
+
+namespace mulberry::gateway {
+
+/// Number of one request at a CallerServer.
+using ExchangeId = std::uint64_t;
+
+/// What a CallerServer tells its owner. Called from the io_context's thread.
+class CallerEvents {
+ public:
+  virtual ~CallerEvents() = default;
+  /// A whole request. It is answered with CallerServer::Answer, now or later.
+  virtual void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) = 0;
+  /// The caller of an unanswered request has gone away.
+  virtual void OnGone(ExchangeId exchange) = 0;
+};
+
+class CallerSession;
+
+/// Serves HTTP/1.1 to callers on one port: kept connections, pipelined requests whose answers go
+/// out in order, and limits on size and time. Idle connections hold no buffer. Only for the thread
+/// that runs the io_context, which must outlive it.
+class CallerServer {
+ public:
+  CallerServer(asio::io_context& io, CallerEvents& events);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+
+  /// Errors: kUnavailable with the address and the system's message.
+  Result<void> Open(const std::string& ip, std::uint16_t port);
+  void StopAccepting();
+  void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+  /// Answers from now on close their connections.
+  void SetClosing() { closing_ = true; }
+  /// Closes the connections on which nothing is due.
+  void CloseIdle();
+
+  /// Answers a request with a head (status line and header lines, without the blank line, length
+  /// and connection) and a body. Unknown and answered exchanges are ignored.
+  void Answer(ExchangeId exchange, std::string head, const std::string& body, bool close = false);
+
+  /// Closes what is over its time; call a few times a second.
+  void Sweep(TimePoint now);
+
+  std::size_t connections() const { return sessions_.size(); }
+  std::size_t unanswered() const { return exchanges_.size(); }
+
+ private:
+  friend class CallerSession;
+  asio::io_context& io_;
+  CallerEvents& events_;
+  CallerLimits limits_;
+  bool closing_ = false;
+  ExchangeId next_exchange_ = 1;
+  std::unordered_map<ExchangeId, std::shared_ptr<CallerSession>> exchanges_;
+  std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
+  TcpAcceptor acceptor_;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/entry_keeper.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <set>
+#include <vector>
+
+#include "libgateway/types.h"
+
+namespace mulberry::gateway {
+
+/// Decides when a server whose entry has vanished from the store counts as gone. While the store
+/// is away, entries lapse although their servers live; those are back shortly after its return.
+/// Pure: time is passed in. Not thread safe.
+class EntryKeeper {
+ public:
+  /// `return_time`: how long after the store's return entries come back.
+  explicit EntryKeeper(Duration return_time) : return_time_(return_time) {}
+
+  /// The store answers (again) or has stopped answering.
+  void OnStoreAnswers(TimePoint now);
+  void OnStoreLost() { away_ = true; }
+
+  void OnPresent(const ServerName& id) { lapsed_.erase(id); }
+  /// Returns true when the server is gone now; otherwise it may turn up in TakeGone.
+  bool OnVanished(const ServerName& id, TimePoint now);
+  /// Returns the servers whose time to come back is over.
+  std::vector<ServerName> TakeGone(TimePoint now);
+
+ private:
+  Duration return_time_;
+  bool away_ = true;
+  TimePoint back_until_;
+  std::set<ServerName> lapsed_;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/fleet_view.cc
@@ -0,0 +1,109 @@
+#include "libgateway/fleet_view.h"
+
+#include <algorithm>
+#include <set>
+
+namespace mulberry::gateway {
+namespace {
+
+/// Seed of the rank, so that it differs from other uses of the hash.
+constexpr std::uint64_t kRankSeed = 0x6d756c;
+
+}  // namespace
+
+FleetView::FleetView(FleetOptions options) : options_(std::move(options)) {}
+
+void FleetView::Register(const HostRecord& record) {
+  if (record.host == options_.self.host) return;
+  Peer& peer = peers_[record.host];
+  // A beat is newer than the list.
+  if (!peer.heard) peer.beat.record = record;
+}
+
+bool FleetView::OnBeat(const HostBeat& beat, TimePoint now) {
+  if (beat.record.host == options_.self.host) return false;
+  Peer& peer = peers_[beat.record.host];
+  if (peer.heard && beat.start < peer.beat.start) return false;
+  peer.beat = beat;
+  peer.heard = true;
+  peer.last_heard = now;
+  return true;
+}
+
+void FleetView::SetSelf(bool ready, bool leaving) {
+  ready_ = ready;
+  leaving_ = leaving;
+}
+
+std::vector<HostRecord> FleetView::Others() const {
+  std::vector<HostRecord> others;
+  others.reserve(peers_.size());
+  for (const auto& [name, peer] : peers_) others.push_back(peer.beat.record);
+  return others;
+}
+
+std::size_t FleetView::HostsOfDataCentre() const {
+  const auto others = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) {
+    return entry.second.beat.record.data_centre == options_.self.data_centre;
+  });
+  return static_cast<std::size_t>(others) + 1;
+}
+
+std::vector<std::string> FleetView::AddressesFor(const DataCentreName& data_centre,
+                                                 TimePoint now) const {
+  std::vector<Candidate> chosen = DecidersOf(data_centre, now);
+  if (chosen.empty()) {
+    std::set<DataCentreName> names;
+    for (const Candidate& candidate : Live(now)) names.insert(candidate.data_centre);
+    for (const DataCentreName& name : names) {
+      for (Candidate& candidate : DecidersOf(name, now)) chosen.push_back(std::move(candidate));
+    }
+  }
+  std::vector<std::string> addresses;
+  addresses.reserve(chosen.size());
+  for (Candidate& candidate : chosen) addresses.push_back(std::move(candidate.caller_address));
+  return addresses;
+}
+
+bool FleetView::IsDecider(TimePoint now) const {
+  const std::vector<Candidate> deciders = DecidersOf(options_.self.data_centre, now);
+  return std::any_of(deciders.begin(), deciders.end(),
+                     [](const Candidate& candidate) { return candidate.is_self; });
+}
+
+bool FleetView::IsFirstChoice() const {
+  std::uint32_t before = 0;
+  const std::uint64_t own = RankOf(options_.self.host);
+  for (const auto& [name, peer] : peers_) {
+    if (peer.beat.record.data_centre == options_.self.data_centre && RankOf(name) < own) ++before;
+  }
+  return before < options_.deciders;
+}
+
+std::vector<FleetView::Candidate> FleetView::Live(TimePoint now) const {
+  std::vector<Candidate> live;
+  if (ready_ && !leaving_) {
+    live.push_back({RankOf(options_.self.host), options_.self.data_centre,
+                    options_.self_caller_address, true});
+  }
+  for (const auto& [name, peer] : peers_) {
+    if (!peer.heard || now - peer.last_heard > options_.silent_after) continue;
+    if (peer.beat.leaving || !peer.beat.ready) continue;
+    live.push_back({RankOf(name), peer.beat.record.data_centre, peer.beat.caller_address, false});
+  }
+  std::sort(live.begin(), live.end());
+  return live;
+}
+
+std::vector<FleetView::Candidate> FleetView::DecidersOf(const DataCentreName& data_centre,
+                                                        TimePoint now) const {
+  std::vector<Candidate> live = Live(now);
+  std::erase_if(live,
+                [&](const Candidate& candidate) { return candidate.data_centre != data_centre; });
+  if (live.size() > options_.deciders) live.resize(options_.deciders);
+  return live;
+}
+
+std::uint64_t FleetView::RankOf(const HostName& host) { return StableHash(host.str(), kRankSeed); }
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/fleet_view.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libgateway/types.h"
+
+namespace mulberry::gateway {
+
+/// What one entry host says of itself to the others, many times a minute.
+struct HostBeat {
+  HostRecord record;
+  StartId start;
+  std::string caller_address;  ///< "ip:port" for callers.
+  bool leaving = false;
+  bool ready = false;
+  ConfigVersion version;
+  /// The next offset of the operators' topic that the host would read.
+  Offset operator_offset;
+};
+
+struct FleetOptions {
+  HostRecord self;
+  std::string self_caller_address;
+  /// Hosts a data centre that are named to callers.
+  std::uint32_t deciders = 2;
+  /// A host that has been silent for this long is not named to callers.
+  Duration silent_after = std::chrono::milliseconds(1600);
+};
+
+/// Which entry hosts there are, which of them are alive, and which are named to callers. Pure:
+/// time is passed in. Not thread safe.
+class FleetView {
+ public:
+  explicit FleetView(FleetOptions options);
+
+  /// Takes a host from the store's list; alive only once it is heard.
+  void Register(const HostRecord& record);
+  /// Takes a host's own word; false when it is older than a known start or about this host.
+  bool OnBeat(const HostBeat& beat, TimePoint now);
+  /// This host itself stops or is not ready.
+  void SetSelf(bool ready, bool leaving);
+
+  /// All other hosts, to send beats to.
+  std::vector<HostRecord> Others() const;
+  /// Hosts of this host's data centre that are registered or alive, this one included.
+  std::size_t HostsOfDataCentre() const;
+  std::size_t Hosts() const { return peers_.size() + 1; }
+
+  /// Addresses for a caller of a data centre: its deciders, or those of the next data centre in
+  /// order when it has none. Never empty while this host is ready.
+  std::vector<std::string> AddressesFor(const DataCentreName& data_centre, TimePoint now) const;
+  /// True when this host is named to the callers of its data centre.
+  bool IsDecider(TimePoint now) const;
+  /// True when it would be named also if every registered host were alive.
+  bool IsFirstChoice() const;
+
+ private:
+  struct Peer {
+    HostBeat beat;
+    bool heard = false;
+    TimePoint last_heard;
+  };
+  struct Candidate {
+    std::uint64_t rank = 0;
+    DataCentreName data_centre;
+    std::string caller_address;
+    bool is_self = false;
+    bool operator<(const Candidate& other) const { return rank < other.rank; }
+  };
+
+  std::vector<Candidate> Live(TimePoint now) const;
+  std::vector<Candidate> DecidersOf(const DataCentreName& data_centre, TimePoint now) const;
+  static std::uint64_t RankOf(const HostName& host);
+
+  FleetOptions options_;
+  bool ready_ = false;
+  bool leaving_ = false;
+  std::map<HostName, Peer> peers_;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/forwarder.cc
@@ -0,0 +1,565 @@
+#include "libgateway/forwarder.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberry::gateway {
+namespace {
+
+/// A connection that does not stand after this time is given up; a round trip between data centres
+/// takes a few milliseconds.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
+/// A kept connection that was idle for longer may have been closed unseen; a request that must not
+/// run twice does not risk it.
+constexpr Duration kUnsafeIdle = std::chrono::milliseconds(1500);
+constexpr Duration kSafeIdle = std::chrono::seconds(8);
+/// A server's own answer at its time limit still gets through in this time.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(40);
+/// Attempts whose answer is not wanted any more may take this long beyond the deadline.
+constexpr Duration kLateAttempts = std::chrono::milliseconds(300);
+/// A request with less time left than this part of a usual answer is not sent.
+constexpr double kLeastTimePart = 0.4;
+/// Before a service has answered, this is taken as its answer time.
+constexpr Duration kUnknownServiceTime = std::chrono::milliseconds(50);
+/// Bounds of what callers are told to wait.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(20);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(2);
+constexpr std::size_t kMostAnswerBytes = 64 * 1024 * 1024;
+/// A further send for a slow answer waits for this multiple of the usual answer time at least.
+constexpr double kHedgeAfter = 1.4;
+
+constexpr int kNoRoute = 404;
+constexpr int kNotRun = 503;
+constexpr int kBadRequest = 400;
+
+std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+const char* ReasonPhrase(int status) {
+  switch (status) {
+    case kBadRequest:
+      return "Bad Request";
+    case kNoRoute:
+      return "Not Found";
+    case kNotRun:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Bad Gateway";
+  }
+}
+
+}  // namespace
+
+Forwarder::Forwarder(Parts parts)
+    : parts_(parts),
+      links_(parts.io, {.max_head_bytes = 64 * 1024, .max_body_bytes = kMostAnswerBytes}),
+      timer_(parts.io) {}
+
+Forwarder::~Forwarder() {
+  for (auto& [id, call] : calls_) {
+    for (Attempt& attempt : call->running) attempt.link->Close();
+  }
+}
+
+void Forwarder::SetSlackPart(double part) {
+  slack_part_ = part;
+  for (auto& [service, window] : retry_windows_) window.SetSlackPart(part);
+}
+
+void Forwarder::OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) {
+  const HeaderNames& names = parts_.adapter.headers();
+  auto call = std::make_unique<Call>();
+  call->id = CallId(next_call_++);
+  call->exchange = exchange;
+  call->arrived = arrived;
+  if (const std::string* id = FindHeader(request.headers, names.request_id)) {
+    call->request_id = *id;
+  }
+  call->request = std::move(request);
+  if (!Admit(*call)) return;
+  Call& admitted = *call;
+  by_exchange_[exchange] = call->id;
+  calls_.emplace(call->id, std::move(call));
+  TryPlace(admitted, false, arrived);
+}
+
+/// Finds route, service and deadline; answers the request itself when there is none.
+bool Forwarder::Admit(Call& call) {
+  if (!parts_.config.ready()) {
+    Refuse(call.exchange, kNotRun, "no_configuration", call.request_id);
+    return false;
+  }
+  const std::string* host = FindHeader(call.request.headers, "host");
+  if (host == nullptr || call.request.target.empty() || call.request.target.front() != '/') {
+    Refuse(call.exchange, kBadRequest, "no_host_or_path", call.request_id);
+    return false;
+  }
+  call.route = parts_.config.routes().Find(*host, PathOf(call.request.target));
+  if (call.route == nullptr) {
+    Refuse(call.exchange, kNoRoute, "no_route", call.request_id);
+    return false;
+  }
+  call.service = dealer_.Next(*call.route);
+  Duration limit = call.route->timeout;
+  if (const std::string* left =
+          FindHeader(call.request.headers, parts_.adapter.headers().time_left)) {
+    std::int64_t milliseconds = 0;
+    if (ParseNumber(*left, &milliseconds) && milliseconds >= 0) {
+      limit = std::min<Duration>(limit, std::chrono::milliseconds(milliseconds));
+    }
+  }
+  call.deadline = call.arrived + limit;
+  call.state.idempotent = call.route->idempotent;
+  call.state.max_attempts = call.route->max_attempts;
+  auto [window, is_new] = retry_windows_.try_emplace(call.service, parts_.retries);
+  if (is_new) window->second.SetSlackPart(slack_part_);
+  window->second.OnRequest(call.arrived);
+  return true;
+}
+
+void Forwarder::OnGone(ExchangeId exchange) {
+  const auto found = by_exchange_.find(exchange);
+  if (found == by_exchange_.end()) return;
+  const CallId id = found->second;
+  by_exchange_.erase(found);
+  Call* call = Find(id);
+  if (call == nullptr || call->answered) return;
+  call->answered = true;
+  parts_.metrics.OnCallerGone();
+  LogEvent(LogLevel::kInfo, "caller_gone",
+           {{"request", call->request_id},
+            {"service", call->service.str()},
+            {"held_ms", ToMilliseconds(MonotonicClock::now() - call->arrived)},
+            {"attempts", call->state.attempts}});
+  Dequeue(*call);
+  CancelAttempts(*call, MonotonicClock::now());
+  DropIfDone(id);
+}
+
+void Forwarder::TryPlace(Call& call, bool hedge, TimePoint now) {
+  const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
+  const auto least =
+      Duration(static_cast<std::int64_t>(static_cast<double>(usual.count()) * kLeastTimePart));
+  if (now + least > call.deadline) {
+    if (!hedge) {
+      FailCall(call, FailureStatus(call.state.may_have_run, true), "too_late",
+               RetryAfter(call.service), now);
+    }
+    return;
+  }
+  const auto choice = parts_.pool.Choose(call.service, call.tried, now);
+  if (const auto* chosen = std::get_if<Choice>(&choice)) {
+    if (hedge && !retry_windows_.at(call.service).Take(true, now)) return;
+    Dequeue(call);
+    Send(call, *chosen, hedge, now);
+    return;
+  }
+  if (!hedge) Enqueue(call, std::get<NoChoice>(choice), now);
+}
+
+/// Lets a call wait for room, unless it is known now that room comes too late.
+void Forwarder::Enqueue(Call& call, NoChoice reason, TimePoint now) {
+  call.last_reason = NoChoiceName(reason);
+  const std::size_t slots = parts_.pool.SlotsOf(call.service);
+  if (reason == NoChoice::kNoServer || slots == 0) {
+    FailCall(call, FailureStatus(call.state.may_have_run, false), call.last_reason,
+             RetryAfter(call.service), now);
+    return;
+  }
+  Waiting& waiting = waiting_[call.service];
+  if (!call.queued) {
+    call.queued = true;
+    waiting.emplace(call.route->urgency, call.arrived + call.route->latency_target, call.id);
+  }
+  SetTimer(call);
+}
+
+void Forwarder::Dequeue(Call& call) {
+  if (!call.queued) return;
+  call.queued = false;
+  waiting_[call.service].erase(
+      {call.route->urgency, call.arrived + call.route->latency_target, call.id});
+  parts_.metrics.OnQueueWait(MonotonicClock::now() - call.arrived);
+}
+
+void Forwarder::Pump() {
+  if (pumping_) return;
+  pumping_ = true;
+  const TimePoint now = MonotonicClock::now();
+  for (auto& [service, waiting] : waiting_) {
+    while (!waiting.empty()) {
+      const std::size_t before = waiting.size();
+      Call* call = Find(std::get<CallId>(*waiting.begin()));
+      if (call == nullptr) {
+        waiting.erase(waiting.begin());
+        continue;
+      }
+      TryPlace(*call, false, now);
+      if (waiting.size() == before) break;
+    }
+  }
+  pumping_ = false;
+}
+
+void Forwarder::Send(Call& call, const Choice& choice, bool hedge, TimePoint now) {
+  const Duration max_idle = call.state.idempotent ? kSafeIdle : kUnsafeIdle;
+  auto link = links_.Take(choice.address, max_idle);
+  if (!link) {
+    LogEvent(LogLevel::kError, "server_address_unusable",
+             {{"server", choice.id.str()}, {"error", link.error().message}});
+    call.tried.insert(choice.id);
+    FailCall(call, FailureStatus(call.state.may_have_run, false), "no_server",
+             RetryAfter(call.service), now);
+    return;
+  }
+  Attempt attempt{AttemptId(next_attempt_++), choice.id, choice.address, now, link.value()};
+  ++call.state.attempts;
+  ++call.state.running;
+  call.tried.insert(choice.id);
+  parts_.pool.OnSent(choice.id, now);
+  LinkRequest request;
+  request.bytes = RequestBytes(call, choice, now);
+  request.is_head = call.request.method == "HEAD";
+  request.id_header = call.request_id.empty() ? "" : parts_.adapter.headers().request_id;
+  request.id = call.request_id;
+  request.connect_timeout = kConnectTimeout;
+  LogEvent(LogLevel::kDebug, "sent",
+           {{"request", call.request_id},
+            {"server", choice.id.str()},
+            {"load", choice.load},
+            {"slowness", choice.slowness},
+            {"report_age_ms", ToMilliseconds(choice.report_age)},
+            {"expected_ms", ToMilliseconds(choice.expected)},
+            {"cold", choice.cold},
+            {"hedge", hedge}});
+  if (call.state.idempotent && !hedge && call.state.attempts < call.state.max_attempts) {
+    const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
+    call.hedge_at =
+        now + Duration(static_cast<std::int64_t>(static_cast<double>(usual.count()) * kHedgeAfter));
+  }
+  const AttemptId attempt_id = attempt.id;
+  const std::shared_ptr<HttpLink> to = attempt.link;
+  call.running.push_back(std::move(attempt));
+  SetTimer(call);
+  to->Exchange(std::move(request), [this, id = call.id, attempt_id](LinkAnswer answer) {
+    OnAttemptEnd(id, attempt_id, std::move(answer));
+  });
+}
+
+std::string Forwarder::RequestBytes(const Call& call, const Choice& choice, TimePoint now) const {
+  const HeaderNames& names = parts_.adapter.headers();
+  const HttpMessage& request = call.request;
+  const std::string* connection = FindHeader(request.headers, "connection");
+  const std::string_view named = connection == nullptr ? std::string_view() : *connection;
+  std::string bytes;
+  bytes.reserve(512 + request.body.size());
+  bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  for (const auto& [name, value] : request.headers) {
+    if (IsConnectionHeader(name, named) || EqualsIgnoreCase(name, "content-length") ||
+        EqualsIgnoreCase(name, "expect") || EqualsIgnoreCase(name, names.time_left) ||
+        EqualsIgnoreCase(name, names.target_server)) {
+      continue;
+    }
+    AppendHeader(bytes, name, value);
+  }
+  AppendHeader(bytes, names.time_left,
+               std::to_string(std::max<std::int64_t>(1, ToMilliseconds(call.deadline - now))));
+  AppendHeader(bytes, names.target_server, choice.id.str());
+  const bool states_length = !request.body.empty() ||
+                             FindHeader(request.headers, "content-length") != nullptr ||
+                             FindHeader(request.headers, "transfer-encoding") != nullptr;
+  if (states_length) {
+    AppendHeader(bytes, "Content-Length", std::to_string(request.body.size()));
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  return bytes;
+}
+
+/// Tells a server's own answer from everything that only looks like one.
+AttemptEnd Forwarder::Classify(const Call& call, const LinkAnswer& answer) const {
+  switch (answer.end) {
+    case LinkEnd::kConnectFailed:
+      return AttemptEnd::kConnectFailed;
+    case LinkEnd::kNotSent:
+      return AttemptEnd::kNotSent;
+    case LinkEnd::kBroken:
+      return AttemptEnd::kBroken;
+    case LinkEnd::kAnswered:
+      break;
+  }
+  const HeaderNames& names = parts_.adapter.headers();
+  const HttpMessage& message = answer.message;
+  if (parts_.adapter.IsMisdirected(message.status)) return AttemptEnd::kMisdirected;
+  if (FindHeader(message.headers, names.not_run) != nullptr) return AttemptEnd::kShed;
+  const std::string* id = FindHeader(message.headers, names.request_id);
+  if (!call.request_id.empty() && id == nullptr) return AttemptEnd::kBroken;
+  if (FindHeader(message.headers, names.server_signature) == nullptr) return AttemptEnd::kBroken;
+  if (FindHeader(message.headers, "content-encoding") != nullptr) return AttemptEnd::kBroken;
+  return message.status >= 500 ? AttemptEnd::kServerFailure : AttemptEnd::kAnswered;
+}
+
+void Forwarder::OnAttemptEnd(CallId id, AttemptId attempt_id, LinkAnswer answer) {
+  Call* call = Find(id);
+  if (call == nullptr) return;
+  const auto found = std::find_if(call->running.begin(), call->running.end(),
+                                  [&](const Attempt& attempt) { return attempt.id == attempt_id; });
+  if (found == call->running.end()) return;
+  Attempt attempt = std::move(*found);
+  call->running.erase(found);
+  const TimePoint now = MonotonicClock::now();
+  const AttemptEnd end = Classify(*call, answer);
+  if (end == AttemptEnd::kMisdirected || end == AttemptEnd::kConnectFailed) {
+    links_.Drop(attempt.address);
+  }
+  links_.Give(attempt.address, attempt.link);
+  if (const std::string* load = FindHeader(answer.message.headers, parts_.adapter.headers().load)) {
+    if (const auto report = parts_.adapter.ParseLoad(*load)) {
+      parts_.pool.OnReport(attempt.server, *report, now);
+      reported_.insert(attempt.server);
+    }
+  }
+  parts_.pool.OnEnd(attempt.server, end, attempt.sent, now);
+  parts_.metrics.OnAttempt(AttemptEndName(end), now - attempt.sent);
+  --call->state.running;
+  if (!ProvesNotRun(end) && end != AttemptEnd::kAnswered) call->state.may_have_run = true;
+  if (end != AttemptEnd::kAnswered) {
+    LogEvent(LogLevel::kInfo, "attempt_failed",
+             {{"request", call->request_id},
+              {"server", attempt.server.str()},
+              {"end", AttemptEndName(end)},
+              {"status", answer.message.status},
+              {"error", answer.error},
+              {"reused", answer.reused},
+              {"took_ms", ToMilliseconds(now - attempt.sent)},
+              {"attempt", call->state.attempts}});
+  }
+  if (!call->answered) AfterEnd(*call, end, answer.message, attempt, now);
+  DropIfDone(id);
+  Pump();
+}
+
+void Forwarder::AfterEnd(Call& call, AttemptEnd end, HttpMessage& message, const Attempt& attempt,
+                         TimePoint now) {
+  switch (AfterAttempt(call.state, end)) {
+    case NextStep::kRelay:
+      Relay(call, message, attempt, now);
+      return;
+    case NextStep::kWait:
+      return;
+    case NextStep::kRetry:
+      if (retry_windows_.at(call.service).Take(false, now)) {
+        parts_.metrics.OnRetry(AttemptEndName(end));
+        TryPlace(call, false, now);
+        return;
+      }
+      if (end == AttemptEnd::kServerFailure) {
+        Relay(call, message, attempt, now);
+        return;
+      }
+      FailCall(call, FailureStatus(call.state.may_have_run, false), "retry_budget_spent",
+               RetryAfter(call.service), now);
+      return;
+    case NextStep::kFail:
+      FailCall(call, FailureStatus(call.state.may_have_run, false), AttemptEndName(end),
+               RetryAfter(call.service), now);
+      return;
+  }
+}
+
+void Forwarder::Relay(Call& call, HttpMessage& message, const Attempt& attempt, TimePoint now) {
+  const bool promises_not_run =
+      message.status == 503 || message.status == 429 || message.status == 408;
+  if (promises_not_run) {
+    // The server ran it, so that a status that promises the contrary must not reach the caller.
+    FailCall(call, FailureStatus(true, false), "server_status", Duration::zero(), now);
+    return;
+  }
+  const std::string* connection = FindHeader(message.headers, "connection");
+  const std::string_view named = connection == nullptr ? std::string_view() : *connection;
+  const bool is_head = call.request.method == "HEAD";
+  std::string head;
+  head.reserve(512 + message.body.size());
+  head = fmt::format("HTTP/1.1 {} {}\r\n", message.status, message.reason);
+  for (const auto& [name, value] : message.headers) {
+    if (IsConnectionHeader(name, named)) continue;
+    if (!is_head && EqualsIgnoreCase(name, "content-length")) continue;
+    if (EqualsIgnoreCase(name, parts_.adapter.headers().load)) continue;
+    AppendHeader(head, name, value);
+  }
+  parts_.metrics.OnAnswer(call.service, message.status, now - call.arrived);
+  LogEvent(LogLevel::kInfo, "answered",
+           {{"request", call.request_id},
+            {"route", call.route->name},
+            {"version", parts_.config.version().value()},
+            {"server", attempt.server.str()},
+            {"status", message.status},
+            {"took_ms", ToMilliseconds(now - call.arrived)},
+            {"attempts", call.state.attempts}});
+  Reply(call, std::move(head), message.body);
+}
+
+/// Gives the final answer of a call that was not served.
+void Forwarder::FailCall(Call& call, int status, std::string_view reason, Duration retry_after,
+                         TimePoint now) {
+  parts_.metrics.OnRefusal(reason);
+  parts_.metrics.OnAnswer(call.service, status, now - call.arrived);
+  LogEvent(LogLevel::kInfo, "failed",
+           {{"request", call.request_id},
+            {"route", call.route->name},
+            {"version", parts_.config.version().value()},
+            {"service", call.service.str()},
+            {"status", status},
+            {"reason", std::string(reason)},
+            {"waited_for", call.last_reason},
+            {"may_have_run", call.state.may_have_run || call.state.running > 0},
+            {"held_ms", ToMilliseconds(now - call.arrived)},
+            {"left_ms", ToMilliseconds(call.deadline - now)},
+            {"attempts", call.state.attempts}});
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
+  if (status == kNotRun) {
+    AppendHeader(head, "Retry-After",
+                 fmt::format("{:.3f}", std::chrono::duration<double>(retry_after).count()));
+  }
+  if (!call.request_id.empty()) {
+    AppendHeader(head, parts_.adapter.headers().request_id, call.request_id);
+  }
+  Reply(call, std::move(head), std::string(reason) + "\n");
+}
+
+void Forwarder::Reply(Call& call, std::string head, const std::string& body) {
+  call.answered = true;
+  call.hedge_at = TimePoint::max();
+  Dequeue(call);
+  by_exchange_.erase(call.exchange);
+  SetTimer(call);
+  server_->Answer(call.exchange, std::move(head), body);
+}
+
+void Forwarder::Refuse(ExchangeId exchange, int status, std::string_view reason,
+                       std::string_view request_id) {
+  parts_.metrics.OnRefusal(reason);
+  LogEvent(LogLevel::kInfo, "refused",
+           {{"request", std::string(request_id)},
+            {"status", status},
+            {"reason", std::string(reason)},
+            {"version", parts_.config.version().value()}});
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
+  if (status == kNotRun) AppendHeader(head, "Retry-After", "0.200");
+  if (!request_id.empty()) AppendHeader(head, parts_.adapter.headers().request_id, request_id);
+  server_->Answer(exchange, std::move(head), std::string(reason) + "\n");
+}
+
+void Forwarder::CancelAttempts(Call& call, TimePoint now) {
+  for (Attempt& attempt : std::exchange(call.running, {})) {
+    attempt.link->Close();
+    parts_.pool.OnEnd(attempt.server, AttemptEnd::kCancelled, attempt.sent, now);
+    parts_.metrics.OnAttempt(AttemptEndName(AttemptEnd::kCancelled), now - attempt.sent);
+  }
+  call.state.running = 0;
+}
+
+void Forwarder::DropIfDone(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || !found->second->answered || !found->second->running.empty()) return;
+  Dequeue(*found->second);
+  timers_.erase({found->second->timer, id});
+  calls_.erase(found);
+}
+
+/// Time after which the queue of a service will have drained, as far as it can be told.
+Duration Forwarder::RetryAfter(const ServiceName& service) const {
+  const Duration usual = parts_.pool.ServiceTime(service, kUnknownServiceTime);
+  const auto waiting = waiting_.find(service);
+  const std::size_t queued = waiting == waiting_.end() ? 0 : waiting->second.size();
+  const std::size_t slots = std::max<std::size_t>(1, parts_.pool.SlotsOf(service));
+  const Duration wait =
+      usual * static_cast<std::int64_t>(queued + slots) / static_cast<std::int64_t>(slots);
+  return std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
+}
+
+Forwarder::Call* Forwarder::Find(CallId id) {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? nullptr : found->second.get();
+}
+
+void Forwarder::SetTimer(Call& call) {
+  TimePoint due = call.deadline + kDeadlineGrace;
+  if (call.answered) due = call.deadline + kLateAttempts;
+  if (!call.answered && call.running.empty()) due = call.deadline;
+  if (call.queued) {
+    // It is refused as soon as there is too little time left to serve it.
+    const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
+    due = std::min(due, call.deadline - Duration(static_cast<std::int64_t>(
+                                            static_cast<double>(usual.count()) * kLeastTimePart)));
+  }
+  due = std::min(due, call.hedge_at);
+  if (due == call.timer) return;
+  timers_.erase({call.timer, call.id});
+  call.timer = due;
+  timers_.emplace(due, call.id);
+  ArmTimer();
+}
+
+void Forwarder::ArmTimer() {
+  if (timers_.empty()) return;
+  const TimePoint due = timers_.begin()->first;
+  if (due >= armed_) return;
+  armed_ = due;
+  timer_.expires_after(std::max(Duration::zero(), Duration(due - MonotonicClock::now())));
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) OnTimer();
+  });
+}
+
+void Forwarder::OnTimer() {
+  armed_ = TimePoint::max();
+  const TimePoint now = MonotonicClock::now();
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    const CallId id = timers_.begin()->second;
+    timers_.erase(timers_.begin());
+    Call* call = Find(id);
+    if (call == nullptr) continue;
+    call->timer = TimePoint::max();
+    OnDue(*call, now);
+  }
+  ArmTimer();
+}
+
+void Forwarder::OnDue(Call& call, TimePoint now) {
+  const CallId id = call.id;
+  if (call.answered) {
+    CancelAttempts(call, now);
+    DropIfDone(id);
+    return;
+  }
+  if (call.hedge_at <= now) {
+    call.hedge_at = TimePoint::max();
+    SetTimer(call);
+    if (call.state.attempts < call.state.max_attempts) {
+      TryPlace(call, true, now);
+      if (call.state.running > 1) parts_.metrics.OnRetry("slow_answer");
+    }
+    return;
+  }
+  if (call.running.empty()) {
+    FailCall(call, FailureStatus(call.state.may_have_run, true), "queue_time_over",
+             RetryAfter(call.service), now);
+  } else {
+    FailCall(call, FailureStatus(true, true), "no_answer_in_time", Duration::zero(), now);
+  }
+  DropIfDone(id);
+}
+
+void Forwarder::Sweep(TimePoint now) { links_.Sweep(now); }
+
+std::vector<ServerName> Forwarder::TakeReported() {
+  std::vector<ServerName> reported(reported_.begin(), reported_.end());
+  reported_.clear();
+  return reported;
+}
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/forwarder.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "libgateway/attempt_rules.h"
+#include "libgateway/caller_session.h"
+#include "libgateway/config_keeper.h"
+#include "libgateway/gateway_metrics.h"
+#include "libgateway/link_pool.h"
+#include "libgateway/platform_adapter.h"
+#include "libgateway/retry_window.h"
+#include "libgateway/server_pool.h"
+
+namespace mulberry::gateway {
+
+/// Takes each caller's request from its arrival to its one answer: route, server, attempts, and
+/// what the caller gets when they fail. Decisions are asked of ConfigKeeper, ServerPool,
+/// RetryWindow and attempt_rules. Only for the thread that runs the io_context.
+class Forwarder : public CallerEvents {
+ public:
+  struct Parts {
+    asio::io_context& io;
+    const PlatformAdapter& adapter;
+    ConfigKeeper& config;
+    ServerPool& pool;
+    GatewayMetrics& metrics;
+    RetryLimits retries;
+  };
+
+  explicit Forwarder(Parts parts);
+  ~Forwarder() override;
+
+  /// Sets where answers go. Precondition: called before the first request.
+  void SetServer(CallerServer* server) { server_ = server; }
+  /// Sets this host's part of fleet-wide slack, 0 to 1.
+  void SetSlackPart(double part);
+
+  void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) override;
+  void OnGone(ExchangeId exchange) override;
+
+  /// Tries the waiting calls again, after something has changed for the better.
+  void Pump();
+  void Sweep(TimePoint now);
+  std::size_t calls() const { return calls_.size(); }
+
+  /// Reports that came with answers since the last call, for other hosts.
+  std::vector<ServerName> TakeReported();
+
+ private:
+  struct Attempt {
+    AttemptId id;
+    ServerName server;
+    std::string address;
+    TimePoint sent;
+    std::shared_ptr<HttpLink> link;
+  };
+  struct Call {
+    CallId id;
+    ExchangeId exchange = 0;
+    HttpMessage request;
+    std::string request_id;
+    std::shared_ptr<const Route> route;
+    ServiceName service;
+    TimePoint arrived;
+    TimePoint deadline;
+    CallState state;
+    std::set<ServerName> tried;
+    std::vector<Attempt> running;
+    TimePoint hedge_at = TimePoint::max();
+    TimePoint timer = TimePoint::max();
+    bool answered = false;  ///< Only late attempts are left.
+    bool queued = false;
+    const char* last_reason = "";
+  };
+  /// Calls that wait, most urgent first: urgency, time by which the target is missed, number.
+  using Waiting = std::set<std::tuple<std::uint32_t, TimePoint, CallId>>;
+
+  Call* Find(CallId id);
+  bool Admit(Call& call);
+  void TryPlace(Call& call, bool hedge, TimePoint now);
+  void Enqueue(Call& call, NoChoice reason, TimePoint now);
+  void Dequeue(Call& call);
+  void Send(Call& call, const Choice& choice, bool hedge, TimePoint now);
+  std::string RequestBytes(const Call& call, const Choice& choice, TimePoint now) const;
+  void OnAttemptEnd(CallId id, AttemptId attempt, LinkAnswer answer);
+  AttemptEnd Classify(const Call& call, const LinkAnswer& answer) const;
+  void AfterEnd(Call& call, AttemptEnd end, HttpMessage& message, const Attempt& attempt,
+                TimePoint now);
+  void Relay(Call& call, HttpMessage& message, const Attempt& attempt, TimePoint now);
+  void FailCall(Call& call, int status, std::string_view reason, Duration retry_after,
+                TimePoint now);
+  void Reply(Call& call, std::string head, const std::string& body);
+  void Refuse(ExchangeId exchange, int status, std::string_view reason,
+              std::string_view request_id);
+  void CancelAttempts(Call& call, TimePoint now);
+  void DropIfDone(CallId id);
+  Duration RetryAfter(const ServiceName& service) const;
+
+  void SetTimer(Call& call);
+  void ArmTimer();
+  void OnTimer();
+  void OnDue(Call& call, TimePoint now);
+
+  Parts parts_;
+  CallerServer* server_ = nullptr;
+  LinkPool links_;
+  ShareDealer dealer_;
+  std::map<ServiceName, RetryWindow> retry_windows_;
+  double slack_part_ = 0;
+  std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
+  std::unordered_map<ExchangeId, CallId> by_exchange_;
+  std::map<ServiceName, Waiting> waiting_;
+  std::set<std::pair<TimePoint, CallId>> timers_;
+  asio::steady_timer timer_;
+  TimePoint armed_ = TimePoint::max();
+  std::uint64_t next_call_ = 1;
+  std::uint64_t next_attempt_ = 1;
+  std::set<ServerName> reported_;
+  bool pumping_ = false;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/gateway_metrics.cc
@@ -0,0 +1,54 @@
+#include "libgateway/gateway_metrics.h"
+
+namespace mulberry::gateway {
+
+GatewayMetrics::GatewayMetrics() = default;
+
+void GatewayMetrics::OnAnswer(const ServiceName& service, int status, Duration took) {
+  metrics_
+      .CounterFor("mulberry_answers_total", "Answers to callers",
+                  {{"service", service.str()}, {"status", std::to_string(status)}})
+      .Add();
+  metrics_
+      .HistogramFor("mulberry_answer_seconds", "Time from a request's arrival to its answer",
+                    {{"service", service.str()}})
+      .Observe(took);
+}
+
+void GatewayMetrics::OnRefusal(std::string_view reason) {
+  metrics_
+      .CounterFor("mulberry_refusals_total", "Requests refused or failed by this host",
+                  {{"reason", std::string(reason)}})
+      .Add();
+}
+
+void GatewayMetrics::OnAttempt(std::string_view end, Duration took) {
+  metrics_
+      .CounterFor("mulberry_attempts_total", "Sends to backend servers by their end",
+                  {{"end", std::string(end)}})
+      .Add();
+  metrics_.HistogramFor("mulberry_attempt_seconds", "Time of sends to backend servers")
+      .Observe(took);
+}
+
+void GatewayMetrics::OnRetry(std::string_view reason) {
+  metrics_
+      .CounterFor("mulberry_retries_total", "Further sends of a request",
+                  {{"reason", std::string(reason)}})
+      .Add();
+}
+
+void GatewayMetrics::OnCallerGone() {
+  metrics_.CounterFor("mulberry_callers_gone_total", "Requests whose caller left").Add();
+}
+
+void GatewayMetrics::OnQueueWait(Duration waited) {
+  metrics_.HistogramFor("mulberry_queue_seconds", "Time of requests in this host's queue")
+      .Observe(waited);
+}
+
+void GatewayMetrics::SetGauge(const std::string& name, const std::string& help, double value) {
+  metrics_.GaugeFor(name, help).Set(value);
+}
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/gateway_metrics.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+
+#include "libbase/base.h"
+#include "libtransport/metrics.h"
+
+namespace mulberry::gateway {
+
+/// Counters and histograms of a gateway, under the project's names. Only for one thread.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  void OnAnswer(const ServiceName& service, int status, Duration took);
+  void OnRefusal(std::string_view reason);
+  void OnAttempt(std::string_view end, Duration took);
+  void OnRetry(std::string_view reason);
+  void OnCallerGone();
+  void OnQueueWait(Duration waited);
+  void SetGauge(const std::string& name, const std::string& help, double value);
+
+  std::string Text() const { return metrics_.Text(); }
+
+ private:
+  Metrics metrics_;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/http_reader.cc
@@ -0,0 +1,201 @@
+#include "libgateway/http_reader.h"
+
+#include <algorithm>
+#include <cctype>
+#include <climits>
+
+#include "libbase/base.h"
+
+namespace mulberry::gateway {
+namespace {
+
+/// Bytes that the lines of a head hold besides names and values.
+constexpr std::size_t kLineBytes = 4;
+/// Body bytes reserved ahead at most, since a length is only claimed.
+constexpr std::size_t kMostReserve = 64 * 1024;
+
+bool IsTokenCharacter(unsigned char c) {
+  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
+  return (std::isalnum(c) != 0) || kOthers.find(static_cast<char>(c)) != std::string_view::npos;
+}
+
+bool IsControl(unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; }
+
+HttpReader* SelfOf(http_parser* parser) { return static_cast<HttpReader*>(parser->data); }
+
+}  // namespace
+
+HttpReader::HttpReader(Kind kind, ReadLimits limits) : kind_(kind), limits_(limits) { Reset(); }
+
+void HttpReader::Reset() {
+  http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  message_ = HttpMessage();
+  head_bytes_ = 0;
+  in_value_ = false;
+  complete_ = false;
+  head_complete_ = false;
+  started_ = false;
+  expects_continue_ = false;
+  fault_ = ReadFault::kNone;
+}
+
+const http_parser_settings& HttpReader::Callbacks() {
+  static const http_parser_settings kCallbacks = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = &OnBegin;
+    settings.on_url = &OnUrl;
+    settings.on_status = &OnStatus;
+    settings.on_header_field = &OnField;
+    settings.on_header_value = &OnValue;
+    settings.on_headers_complete = &OnHead;
+    settings.on_body = &OnBody;
+    settings.on_message_complete = &OnComplete;
+    return settings;
+  }();
+  return kCallbacks;
+}
+
+std::size_t HttpReader::Read(std::string_view bytes) {
+  if (complete_ || fault_ != ReadFault::kNone || bytes.empty()) return 0;
+  std::size_t used = http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
+  const auto error = static_cast<http_errno>(parser_.http_errno);
+  if (error == HPE_PAUSED && complete_) {
+    http_parser_pause(&parser_, 0);
+    return used;
+  }
+  if (error != HPE_OK || parser_.upgrade != 0) {
+    if (fault_ == ReadFault::kNone) {
+      fault_ = error == HPE_HEADER_OVERFLOW ? ReadFault::kHeadTooLarge : ReadFault::kMalformed;
+    }
+  }
+  return used;
+}
+
+void HttpReader::ReadEnd() {
+  if (complete_ || fault_ != ReadFault::kNone) return;
+  http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
+  if (complete_) {
+    http_parser_pause(&parser_, 0);
+    message_.ends_with_connection = true;
+    return;
+  }
+  fault_ = ReadFault::kMalformed;
+}
+
+int HttpReader::CountHead(std::size_t bytes) {
+  head_bytes_ += bytes;
+  if (head_bytes_ <= limits_.max_head_bytes) return 0;
+  fault_ = ReadFault::kHeadTooLarge;
+  return 1;
+}
+
+int HttpReader::OnBegin(http_parser* parser) {
+  SelfOf(parser)->started_ = true;
+  return 0;
+}
+
+int HttpReader::OnUrl(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader* self = SelfOf(parser);
+  self->message_.target.append(at, length);
+  return self->CountHead(length);
+}
+
+int HttpReader::OnStatus(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader* self = SelfOf(parser);
+  self->message_.reason.append(at, length);
+  return self->CountHead(length);
+}
+
+int HttpReader::OnField(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader* self = SelfOf(parser);
+  HeaderList& headers = self->message_.headers;
+  // Trailers carry nothing that is passed on.
+  if (self->head_complete_) return self->CountHead(length);
+  if (headers.empty() || self->in_value_) headers.emplace_back();
+  self->in_value_ = false;
+  headers.back().first.append(at, length);
+  return self->CountHead(length + kLineBytes);
+}
+
+int HttpReader::OnValue(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader* self = SelfOf(parser);
+  if (self->head_complete_) return self->CountHead(length);
+  self->in_value_ = true;
+  self->message_.headers.back().second.append(at, length);
+  return self->CountHead(length);
+}
+
+bool HttpReader::HeadIsClean() const {
+  if (kind_ == Kind::kRequest &&
+      std::any_of(message_.target.begin(), message_.target.end(),
+                  [](char c) { return IsControl(static_cast<unsigned char>(c)) || c == ' '; })) {
+    return false;
+  }
+  int hosts = 0;
+  for (const auto& [name, value] : message_.headers) {
+    if (name.empty() || !std::all_of(name.begin(), name.end(), [](char c) {
+          return IsTokenCharacter(static_cast<unsigned char>(c));
+        })) {
+      return false;
+    }
+    if (std::any_of(value.begin(), value.end(),
+                    [](char c) { return IsControl(static_cast<unsigned char>(c)); })) {
+      return false;
+    }
+    if (EqualsIgnoreCase(name, "host")) ++hosts;
+  }
+  return hosts <= 1;
+}
+
+int HttpReader::OnHead(http_parser* parser) {
+  HttpReader* self = SelfOf(parser);
+  self->head_complete_ = true;
+  if (!self->HeadIsClean()) {
+    self->fault_ = ReadFault::kMalformed;
+    return -1;
+  }
+  HttpMessage& message = self->message_;
+  for (auto& [name, value] : message.headers) {
+    value = std::string(Trim(value));
+  }
+  const bool has_length = parser->content_length != ULLONG_MAX;
+  if (has_length && parser->content_length > self->limits_.max_body_bytes) {
+    self->fault_ = ReadFault::kBodyTooLarge;
+    return -1;
+  }
+  if (has_length) {
+    message.body.reserve(std::min<std::size_t>(parser->content_length, kMostReserve));
+  }
+  if (self->kind_ == Kind::kRequest) {
+    message.method = http_method_str(static_cast<http_method>(parser->method));
+    const std::string* expect = FindHeader(message.headers, "expect");
+    self->expects_continue_ = expect != nullptr && EqualsIgnoreCase(*expect, "100-continue");
+  } else {
+    message.status = parser->status_code;
+  }
+  message.keep_alive = http_should_keep_alive(parser) != 0;
+  return self->no_body_ ? 1 : 0;
+}
+
+int HttpReader::OnBody(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader* self = SelfOf(parser);
+  std::string& body = self->message_.body;
+  if (body.size() + length > self->limits_.max_body_bytes) {
+    self->fault_ = ReadFault::kBodyTooLarge;
+    return 1;
+  }
+  body.append(at, length);
+  return 0;
+}
+
+int HttpReader::OnComplete(http_parser* parser) {
+  HttpReader* self = SelfOf(parser);
+  self->complete_ = true;
+  self->message_.keep_alive = self->message_.keep_alive && http_should_keep_alive(parser) != 0;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/link_pool.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libgateway/http_link.h"
+
+namespace mulberry::gateway {
+
+/// Parses "ip:port". Errors: kInvalidArgument.
+Result<asio::ip::tcp::endpoint> ParseEndpoint(const std::string& address);
+
+/// Kept connections by address. Only for the thread that runs the io_context.
+class LinkPool {
+ public:
+  LinkPool(asio::io_context& io, ReadLimits limits) : io_(io), limits_(limits) {}
+  ~LinkPool();
+  LinkPool(const LinkPool&) = delete;
+  LinkPool& operator=(const LinkPool&) = delete;
+
+  /// Returns the kept link that was used last, if it was used within `max_idle` and its peer has
+  /// not closed it; a new one otherwise. Errors: the address can't be parsed.
+  Result<std::shared_ptr<HttpLink>> Take(const std::string& address, Duration max_idle);
+  /// Gives a link back; one that can't be reused is dropped.
+  void Give(const std::string& address, const std::shared_ptr<HttpLink>& link);
+  /// Closes the idle links of an address.
+  void Drop(const std::string& address);
+  /// Closes links that the peer is about to close, or that were idle for long.
+  void Sweep(TimePoint now);
+
+  std::uint64_t connections_made() const { return connections_made_; }
+
+ private:
+  asio::io_context& io_;
+  ReadLimits limits_;
+  std::map<std::string, std::vector<std::shared_ptr<HttpLink>>> idle_;
+  std::uint64_t connections_made_ = 0;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/peer_channel.cc
@@ -0,0 +1,132 @@
+#include "libgateway/peer_channel.h"
+
+#include <cmath>
+#include <utility>
+
+#include "gateway.pb.h"
+#include "libgateway/link_pool.h"
+
+namespace mulberry::gateway {
+namespace {
+
+constexpr double kPercent = 100;
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  wire::Datagram out;
+  const HostBeat& beat = message.beat;
+  out.set_host(beat.record.host.str());
+  out.set_start(beat.start.value());
+  out.set_data_centre(beat.record.data_centre.str());
+  out.set_peer_address(beat.record.peer_address);
+  out.set_caller_address(beat.caller_address);
+  out.set_leaving(beat.leaving);
+  out.set_ready(beat.ready);
+  out.set_config_version(beat.version.value());
+  out.set_operator_offset(beat.operator_offset.value());
+  for (const SharedLoad& load : message.loads) {
+    wire::ServerLoad* added = out.add_loads();
+    added->set_id(load.id.str());
+    added->set_running(load.report.running);
+    added->set_waiting(load.report.waiting);
+    added->set_slots(load.report.slots);
+    added->set_slowness_percent(
+        static_cast<std::uint32_t>(std::lround(load.report.slowness * kPercent)));
+    added->set_age_ms(static_cast<std::uint32_t>(ToMilliseconds(load.age)));
+  }
+  return out.SerializeAsString();
+}
+
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  wire::Datagram in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Fail(ErrorCode::kCorrupt, "not a datagram of a gateway");
+  }
+  PeerMessage message;
+  HostBeat& beat = message.beat;
+  beat.record = {HostName(in.host()), DataCentreName(in.data_centre()), in.peer_address()};
+  beat.start = StartId(in.start());
+  beat.caller_address = in.caller_address();
+  beat.leaving = in.leaving();
+  beat.ready = in.ready();
+  beat.version = ConfigVersion(in.config_version());
+  beat.operator_offset = Offset(in.operator_offset());
+  if (beat.record.host.empty() || !ParseEndpoint(beat.record.peer_address) ||
+      !ParseEndpoint(beat.caller_address)) {
+    return Fail(ErrorCode::kCorrupt, "no host or no address in a datagram");
+  }
+  for (const wire::ServerLoad& load : in.loads()) {
+    SharedLoad shared;
+    shared.id = ServerName(load.id());
+    shared.report = {load.running(), load.waiting(), load.slots(),
+                     load.slowness_percent() / kPercent};
+    shared.age = std::chrono::milliseconds(load.age_ms());
+    message.loads.push_back(std::move(shared));
+  }
+  return message;
+}
+
+PeerChannel::PeerChannel(asio::io_context& io, Received received)
+    : socket_(io), received_(std::move(received)) {}
+
+Result<void> PeerChannel::Open(const std::string& ip, std::uint16_t port) {
+  asio::error_code error;
+  const auto address = asio::ip::make_address_v4(ip, error);
+  if (!error) socket_.open(asio::ip::udp::v4(), error);
+  if (!error) socket_.bind({address, port}, error);
+  if (!error) socket_.non_blocking(true, error);
+  if (error) {
+    return Fail(ErrorCode::kUnavailable, "cannot receive datagrams on " + ip + ":" +
+                                             std::to_string(port) + ": " + error.message());
+  }
+  Receive();
+  return boost::outcome_v2::success();
+}
+
+void PeerChannel::Close() {
+  asio::error_code ignored;
+  socket_.close(ignored);
+}
+
+void PeerChannel::Send(const PeerMessage& message, const std::vector<std::string>& addresses) {
+  const std::string bytes = EncodePeerMessage(message);
+  if (bytes.size() > kMostBytes) {
+    LogEvent(LogLevel::kError, "datagram_too_large", {{"bytes", bytes.size()}});
+    return;
+  }
+  for (const std::string& address : addresses) {
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint) continue;
+    asio::error_code error;
+    socket_.send_to(asio::buffer(bytes), {endpoint.value().address(), endpoint.value().port()}, 0,
+                    error);
+    if (!error) ++sent_;
+  }
+}
+
+void PeerChannel::Receive() {
+  socket_.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code& error) {
+    if (error) return;
+    TakeAll();
+    if (socket_.is_open()) Receive();
+  });
+}
+
+void PeerChannel::TakeAll() {
+  while (true) {
+    asio::ip::udp::endpoint sender;
+    asio::error_code error;
+    const std::size_t bytes = socket_.receive_from(asio::buffer(buffer_), sender, 0, error);
+    if (error) return;
+    auto message = DecodePeerMessage({buffer_.data(), bytes});
+    if (!message) {
+      ++malformed_;
+      continue;
+    }
+    ++received_count_;
+    received_(std::move(message.value()));
+  }
+}
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/peer_channel.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "libbase/base.h"
+#include "libgateway/fleet_view.h"
+#include "libgateway/types.h"
+
+namespace mulberry::gateway {
+
+/// A server's load as another host has seen it.
+struct SharedLoad {
+  ServerName id;
+  LoadReport report;
+  Duration age{};
+};
+
+/// What one datagram holds.
+struct PeerMessage {
+  HostBeat beat;
+  std::vector<SharedLoad> loads;
+};
+
+/// Datagrams between entry hosts. Losing one costs nothing, since each carries the whole present
+/// state; ZeroMQ would queue old ones behind a silent connection. Only for the thread that runs
+/// the io_context.
+class PeerChannel {
+ public:
+  using Received = std::function<void(PeerMessage)>;
+
+  PeerChannel(asio::io_context& io, Received received);
+
+  /// Errors: kUnavailable with the address and the system's message.
+  Result<void> Open(const std::string& ip, std::uint16_t port);
+  void Close();
+  /// Sends to each address; what can't be sent at once is dropped.
+  void Send(const PeerMessage& message, const std::vector<std::string>& addresses);
+
+  std::uint64_t sent() const { return sent_; }
+  std::uint64_t received() const { return received_count_; }
+  std::uint64_t malformed() const { return malformed_; }
+
+ private:
+  static constexpr std::size_t kMostBytes = 8 * 1024;
+
+  void Receive();
+  void TakeAll();
+
+  asio::ip::udp::socket socket_;
+  Received received_;
+  std::array<char, kMostBytes> buffer_{};
+  std::uint64_t sent_ = 0;
+  std::uint64_t received_count_ = 0;
+  std::uint64_t malformed_ = 0;
+};
+
+/// Encodes and decodes a message. Errors: kCorrupt.
+std::string EncodePeerMessage(const PeerMessage& message);
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/question_server.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "libgateway/caller_session.h"
+
+namespace mulberry::gateway {
+
+/// Answer to a question of the platform, of a caller, or of an operator.
+struct QuestionAnswer {
+  int status = 200;
+  std::string content_type;
+  std::string body;
+};
+
+/// Serves questions that are answered at once, on one port. Only for the thread that runs the
+/// io_context.
+class QuestionServer : public CallerEvents {
+ public:
+  using Handler = std::function<QuestionAnswer(const HttpMessage&)>;
+
+  QuestionServer(asio::io_context& io, Handler handler);
+
+  /// Opens "ip:port". Errors: kInvalidArgument, kUnavailable.
+  Result<void> Open(const std::string& address);
+  void Sweep(TimePoint now) { server_.Sweep(now); }
+
+  void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) override;
+  void OnGone(ExchangeId exchange) override;
+
+ private:
+  Handler handler_;
+  CallerServer server_;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/server_pool.cc
@@ -0,0 +1,281 @@
+#include "libgateway/server_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberry::gateway {
+namespace {
+
+/// Answer time of a service of which nothing is known yet.
+constexpr Duration kFirstServiceTime = std::chrono::milliseconds(50);
+/// Weight of a new sample in smoothed figures.
+constexpr double kSmoothing = 1.0 / 16;
+/// After this time without a report, only this host's own requests are counted as load.
+constexpr Duration kReportLife = std::chrono::milliseconds(400);
+/// How much work slows down beyond the knee.
+constexpr double kKneeFactor = 1.7;
+/// Bounds of a server's speed relative to its service, against outliers.
+constexpr double kMostSpeedFactor = 20;
+
+DispatchResult ToHealthResult(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return DispatchResult::kAnswered;
+    case AttemptEnd::kServerFailure:
+      return DispatchResult::kServerError;
+    case AttemptEnd::kShed:
+      return DispatchResult::kShed;
+    case AttemptEnd::kMisdirected:
+    case AttemptEnd::kConnectFailed:
+      return DispatchResult::kConnectRefused;
+    case AttemptEnd::kNotSent:
+      return DispatchResult::kNotSent;
+    case AttemptEnd::kBroken:
+      return DispatchResult::kBroken;
+    case AttemptEnd::kCancelled:
+      return DispatchResult::kCancelled;
+  }
+  return DispatchResult::kCancelled;
+}
+
+}  // namespace
+
+const char* NoChoiceName(NoChoice reason) {
+  switch (reason) {
+    case NoChoice::kNoServer:
+      return "no_server";
+    case NoChoice::kAllBusy:
+      return "all_busy";
+    case NoChoice::kAllCold:
+      return "all_cold";
+  }
+  return "unknown";
+}
+
+ServerPool::ServerPool(PoolOptions options)
+    : options_(std::move(options)),
+      random_(static_cast<std::minstd_rand::result_type>(options_.random_seed)) {}
+
+void ServerPool::SetServices(const std::map<ServiceName, Service>& services) {
+  for (const auto& [name, service] : services) StateOf(name).service = service;
+}
+
+void ServerPool::Put(const ServerEntry& entry, TimePoint now) {
+  auto [found, is_new] = servers_.try_emplace(entry.id);
+  Server& server = found->second;
+  const bool restarted = !is_new && server.entry.born_ms != entry.born_ms;
+  if (!is_new && server.entry.service != entry.service) {
+    std::erase(by_service_[server.entry.service], entry.id);
+    by_service_[entry.service].push_back(entry.id);
+  }
+  if (is_new) by_service_[entry.service].push_back(entry.id);
+  server.entry = entry;
+  if (restarted) {
+    server.health = ServerHealth();
+    server.speed = 1;
+    MarkCold(server, now);
+  }
+  if (entry.cold_left > Duration::zero()) {
+    server.cold_until = std::max(server.cold_until, now + entry.cold_left);
+  }
+}
+
+void ServerPool::Remove(const ServerName& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  std::erase(by_service_[found->second.entry.service], id);
+  servers_.erase(found);
+}
+
+void ServerPool::SetOut(const DataCentreName& data_centre, bool out, TimePoint now) {
+  if (out) {
+    out_.insert(data_centre);
+    return;
+  }
+  if (out_.erase(data_centre) == 0) return;
+  for (auto& [id, server] : servers_) {
+    if (server.entry.data_centre == data_centre) MarkCold(server, now);
+  }
+}
+
+std::variant<NoChoice, Choice> ServerPool::Choose(const ServiceName& service,
+                                                  const std::set<ServerName>& tried,
+                                                  TimePoint now) {
+  ServiceState& state = StateOf(service);
+  Server* best = nullptr;
+  Duration best_expected = Duration::max();
+  NoChoice reason = NoChoice::kNoServer;
+  std::uint32_t equals = 0;
+  for (const ServerName& id : by_service_[service]) {
+    Server& server = servers_.at(id);
+    if (tried.count(id) != 0 || !Usable(server, now)) continue;
+    if (LoadOf(server, now) >= server.entry.slots * (1 + options_.server_queue)) {
+      reason = NoChoice::kAllBusy;
+      continue;
+    }
+    if (!HasColdRoom(server, state.service, now)) {
+      if (reason == NoChoice::kNoServer) reason = NoChoice::kAllCold;
+      continue;
+    }
+    const Duration expected = ExpectedAt(server, state, now);
+    // Servers within a millisecond of each other are equal; one of them is taken at random.
+    if (best != nullptr && expected >= best_expected + std::chrono::milliseconds(1)) continue;
+    const bool clearly = best == nullptr || expected + std::chrono::milliseconds(1) < best_expected;
+    equals = clearly ? 1 : equals + 1;
+    if (!clearly && random_() % equals != 0) continue;
+    best = &server;
+    best_expected = expected;
+  }
+  if (best == nullptr) return reason;
+  Choice choice;
+  choice.id = best->entry.id;
+  choice.address = best->entry.address;
+  choice.expected = best_expected;
+  choice.load = LoadOf(*best, now);
+  choice.slowness = SlownessOf(*best, state, now);
+  choice.report_age = now - best->reported;
+  choice.cold = now < best->cold_until;
+  return choice;
+}
+
+void ServerPool::OnSent(const ServerName& id, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  ++server.in_flight;
+  ++server.since_report;
+  server.cold_sends.push_back(now);
+  while (server.cold_sends.front() < now - std::chrono::seconds(1)) server.cold_sends.pop_front();
+}
+
+void ServerPool::OnEnd(const ServerName& id, AttemptEnd end, TimePoint sent, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  if (server.in_flight > 0) --server.in_flight;
+  --server.since_report;
+  server.health.OnResult(ToHealthResult(end), sent, now);
+  const bool lost = end == AttemptEnd::kConnectFailed || end == AttemptEnd::kNotSent;
+  if (server.health.StateAt(now) == ServerHealth::State::kHealthy &&
+      (server.health.Unreachable() || server.health.AnswersErrors())) {
+    server.health.Eject(now);
+  }
+  if (lost) {
+    server.lost_since = std::min(server.lost_since, now);
+  } else if (server.lost_since != TimePoint::max() && end != AttemptEnd::kCancelled) {
+    // It was away and is back: it has started anew, or may have.
+    server.lost_since = TimePoint::max();
+    MarkCold(server, now);
+  }
+  if (end != AttemptEnd::kAnswered) return;
+  ServiceState& state = StateOf(server.entry.service);
+  const auto took = static_cast<double>(Duration(now - sent).count());
+  if (state.time_us <= 0) state.time_us = took;
+  state.time_us += kSmoothing * (took - state.time_us);
+  const double ratio = std::min(took / std::max(state.time_us, 1.0), kMostSpeedFactor);
+  server.speed += kSmoothing * (ratio - server.speed);
+}
+
+void ServerPool::OnReport(const ServerName& id, const LoadReport& report, TimePoint made) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || made < found->second.reported) return;
+  Server& server = found->second;
+  server.report = report;
+  server.since_report = 0;
+  server.reported = made;
+  ServiceState& state = StateOf(server.entry.service);
+  state.mean_slowness += kSmoothing * (report.slowness - state.mean_slowness);
+}
+
+void ServerPool::OnColdLeft(const ServerName& id, Duration left, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || left <= Duration::zero()) return;
+  found->second.cold_until = std::max(found->second.cold_until, now + left);
+}
+
+Duration ServerPool::ServiceTime(const ServiceName& service, Duration fallback) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || found->second.time_us <= 0) return fallback;
+  return Duration(static_cast<std::int64_t>(found->second.time_us));
+}
+
+std::string ServerPool::Describe(const ServerName& id, TimePoint now) const {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return "unknown";
+  const Server& server = found->second;
+  if (server.entry.leaving) return "leaving";
+  if (out_.count(server.entry.data_centre) != 0) return "out";
+  if (server.health.StateAt(now) != ServerHealth::State::kHealthy) return "ejected";
+  return now < server.cold_until ? "cold" : "warm";
+}
+
+std::size_t ServerPool::SlotsOf(const ServiceName& service) const {
+  const auto found = by_service_.find(service);
+  std::size_t slots = 0;
+  if (found == by_service_.end()) return slots;
+  for (const ServerName& id : found->second) slots += servers_.at(id).entry.slots;
+  return slots;
+}
+
+bool ServerPool::Usable(const Server& server, TimePoint now) const {
+  if (server.entry.leaving || out_.count(server.entry.data_centre) != 0) return false;
+  switch (server.health.StateAt(now)) {
+    case ServerHealth::State::kHealthy:
+      return true;
+    case ServerHealth::State::kEjected:
+      return false;
+    case ServerHealth::State::kTrial:
+      return server.in_flight == 0;
+  }
+  return false;
+}
+
+/// The bound holds over all hosts, so each one has a share of it and other data centres have none.
+bool ServerPool::HasColdRoom(const Server& server, const Service& service, TimePoint now) const {
+  if (now >= server.cold_until) return true;
+  if (server.entry.data_centre != options_.data_centre) return false;
+  const auto recent =
+      std::count_if(server.cold_sends.begin(), server.cold_sends.end(),
+                    [&](TimePoint sent) { return sent > now - std::chrono::seconds(1); });
+  const double borne = service.cold_rate * options_.cold_overage + options_.cold_slack;
+  return static_cast<double>(recent) + 1 <= borne * cold_share_;
+}
+
+double ServerPool::LoadOf(const Server& server, TimePoint now) const {
+  if (now - server.reported > kReportLife) return server.in_flight;
+  const double reported = server.report.running + server.report.waiting + server.since_report;
+  return std::max(reported, static_cast<double>(server.in_flight));
+}
+
+double ServerPool::SlownessOf(const Server& server, const ServiceState& service,
+                              TimePoint now) const {
+  const double age = std::chrono::duration<double>(now - server.reported).count();
+  const double life = std::chrono::duration<double>(options_.slowness_life).count();
+  const double trust = std::exp(-std::max(age, 0.0) / life);
+  return service.mean_slowness + trust * (server.report.slowness - service.mean_slowness);
+}
+
+Duration ServerPool::ExpectedAt(const Server& server, const ServiceState& service,
+                                TimePoint now) const {
+  const double slots = std::max(1U, server.entry.slots);
+  const double load = LoadOf(server, now);
+  const double base =
+      service.time_us > 0 ? service.time_us : static_cast<double>(kFirstServiceTime.count());
+  double work = base / std::max(service.mean_slowness, 0.1) * std::max(server.speed, 0.2) *
+                SlownessOf(server, service, now);
+  if (now < server.cold_until) work *= 2;
+  if (load + 1 > slots * options_.knee) work *= kKneeFactor;
+  const double wait = load >= slots ? work * (load - slots + 1) / slots : 0;
+  // A small term prefers the emptier of two servers of the same speed.
+  const double spread = base * 0.1 * load / slots;
+  Duration expected(static_cast<std::int64_t>(work + wait + spread));
+  if (server.entry.data_centre != options_.data_centre) expected += options_.remote_penalty;
+  return expected;
+}
+
+void ServerPool::MarkCold(Server& server, TimePoint now) {
+  const Duration cold_time = StateOf(server.entry.service).service.cold_time;
+  server.cold_until = std::max(server.cold_until, now + cold_time);
+}
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/server_pool.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libgateway/attempt_rules.h"
+#include "libgateway/types.h"
+#include "libpolicy/server_health.h"
+
+namespace mulberry::gateway {
+
+/// Figures that placing uses.
+struct PoolOptions {
+  DataCentreName data_centre;
+  /// How much longer a server of another data centre may be avoided: the price of the bytes
+  /// between data centres, as waiting time.
+  Duration remote_penalty = std::chrono::milliseconds(15);
+  /// How long a report of slowness says something; machines shift many times a second.
+  Duration slowness_life = std::chrono::milliseconds(150);
+  /// Multiple of a service's cold rate that a cold server bears in one second, and requests on top.
+  double cold_overage = 1;
+  double cold_slack = 0;
+  /// Part of the slots from which a server's work slows down.
+  double knee = 0.8;
+  /// Requests that may wait at a server, as a part of its slots.
+  double server_queue = 0.5;
+  std::uint64_t random_seed = 1;
+};
+
+/// One server that was chosen.
+struct Choice {
+  ServerName id;
+  std::string address;
+  /// Work time that is expected there, and what decided it, for the log.
+  Duration expected{};
+  double load = 0;
+  double slowness = 1;
+  Duration report_age{};
+  bool cold = false;
+};
+
+/// Why no server could be chosen.
+enum class NoChoice { kNoServer, kAllBusy, kAllCold };
+
+/// Returns the snake_case name, for logs and metrics.
+const char* NoChoiceName(NoChoice reason);
+
+/// All backend servers, their load as far as it is known here, and the choice among them. Answers
+/// the load of machines that shift faster than any single host hears of them. Pure: time is
+/// passed in. Not thread safe.
+class ServerPool {
+ public:
+  explicit ServerPool(PoolOptions options);
+
+  /// Takes the services of a configuration.
+  void SetServices(const std::map<ServiceName, Service>& services);
+  /// Adds a server or takes its newer entry.
+  void Put(const ServerEntry& entry, TimePoint now);
+  void Remove(const ServerName& id);
+  /// Takes a data centre out or back; its servers count as cold when they come back.
+  void SetOut(const DataCentreName& data_centre, bool out, TimePoint now);
+  /// Sets the part, 0 to 1, of what a cold server bears that this host may send to each cold
+  /// server of its own data centre; servers of others get none while cold.
+  void SetColdShare(double share) { cold_share_ = share; }
+
+  /// Chooses the server with the least expected answer time. `tried` servers are left out.
+  std::variant<NoChoice, Choice> Choose(const ServiceName& service,
+                                        const std::set<ServerName>& tried, TimePoint now);
+
+  void OnSent(const ServerName& id, TimePoint now);
+  void OnEnd(const ServerName& id, AttemptEnd end, TimePoint sent, TimePoint now);
+  /// Takes a report that was made `age` ago.
+  void OnReport(const ServerName& id, const LoadReport& report, TimePoint made);
+  /// Takes a server's own word on how long it stays cold.
+  void OnColdLeft(const ServerName& id, Duration left, TimePoint now);
+
+  /// Returns "warm", "cold", "leaving", "out", "ejected" or "unknown", for the log.
+  std::string Describe(const ServerName& id, TimePoint now) const;
+
+  bool Known(const ServerName& id) const { return servers_.count(id) != 0; }
+  /// Smoothed time of an answer of the service; `fallback` before the first.
+  Duration ServiceTime(const ServiceName& service, Duration fallback) const;
+  std::size_t size() const { return servers_.size(); }
+  std::size_t SlotsOf(const ServiceName& service) const;
+
+ private:
+  struct Server {
+    ServerEntry entry;
+    ServerHealth health;
+    std::uint32_t in_flight = 0;  ///< Sent by this host.
+    LoadReport report;
+    std::int32_t since_report = 0;  ///< Own sends less own ends since the report.
+    TimePoint reported;
+    TimePoint cold_until;
+    TimePoint lost_since = TimePoint::max();  ///< Unreachable since.
+    std::deque<TimePoint> cold_sends;
+    double speed = 1;  ///< Answer time as a multiple of the service's.
+  };
+  struct ServiceState {
+    Service service;
+    double time_us = 0;
+    double mean_slowness = 1;
+  };
+
+  bool Usable(const Server& server, TimePoint now) const;
+  bool HasColdRoom(const Server& server, const Service& service, TimePoint now) const;
+  double LoadOf(const Server& server, TimePoint now) const;
+  double SlownessOf(const Server& server, const ServiceState& service, TimePoint now) const;
+  Duration ExpectedAt(const Server& server, const ServiceState& service, TimePoint now) const;
+  void MarkCold(Server& server, TimePoint now);
+  ServiceState& StateOf(const ServiceName& service) { return services_[service]; }
+
+  PoolOptions options_;
+  std::map<ServerName, Server> servers_;
+  std::map<ServiceName, std::vector<ServerName>> by_service_;
+  std::map<ServiceName, ServiceState> services_;
+  std::set<DataCentreName> out_;
+  double cold_share_ = 0;
+  std::minstd_rand random_;
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/store_reader.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "libgateway/link_pool.h"
+#include "libgateway/platform_adapter.h"
+#include "libgateway/topic_follower.h"
+
+namespace mulberry::gateway {
+
+/// Calls the store. Each call has a timeout of its own, for a connection can go silent. Only for
+/// the thread that runs the io_context.
+class StoreClient {
+ public:
+  /// The status and body of an answer, or why there is none.
+  using Done = std::function<void(Result<HttpMessage>)>;
+
+  StoreClient(asio::io_context& io, std::string address);
+
+  void Call(const StoreCall& call, Duration timeout, Done done);
+  std::uint64_t calls() const { return calls_; }
+  LinkPool& links() { return links_; }
+
+ private:
+  asio::io_context& io_;
+  std::string address_;
+  LinkPool links_;
+  std::uint64_t calls_ = 0;
+};
+
+/// Follows one topic of the store through a StoreClient. Only for the thread that runs the
+/// io_context.
+class StoreReader {
+ public:
+  /// Called after each successful read.
+  using Updated = std::function<void()>;
+
+  StoreReader(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter, Topic topic,
+              FollowOptions options, TopicFollower::Sink sink, Updated updated);
+
+  void Start();
+  /// Reads at once instead of after the pause; a read that is running is left alone.
+  void Hurry();
+  /// While set, the topic is not read unless Hurry is called.
+  void SetSuspended(bool suspended);
+
+  bool complete() const { return follower_.complete(); }
+  Offset next_offset() const { return follower_.next_offset(); }
+  /// When the store last answered.
+  TimePoint last_answer() const { return last_answer_; }
+  /// When the store first answered again after the last failure; failures after it reset it.
+  TimePoint answering_since() const { return answering_since_; }
+  bool failing() const { return failing_; }
+
+ private:
+  void Step();
+  void OnAnswer(const FollowStep& step, Result<HttpMessage> answer);
+  Result<void> Take(const FollowStep& step, const HttpMessage& answer);
+  void Fail(const std::string& why);
+
+  StoreClient& store_;
+  const PlatformAdapter& adapter_;
+  Topic topic_;
+  FollowOptions options_;
+  TopicFollower follower_;
+  Updated updated_;
+  asio::steady_timer timer_;
+  std::minstd_rand random_{std::random_device{}()};
+  bool calling_ = false;
+  bool hurried_ = false;
+  bool suspended_ = false;
+  bool failing_ = false;
+  TimePoint last_answer_;
+  TimePoint answering_since_ = TimePoint::max();
+};
+
+/// Returns the name of a topic, for logs.
+const char* TopicName(Topic topic);
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/topic_follower.cc
@@ -0,0 +1,62 @@
+#include "libgateway/topic_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberry::gateway {
+
+TopicFollower::TopicFollower(FollowOptions options, Sink sink)
+    : options_(options), sink_(std::move(sink)) {}
+
+FollowStep TopicFollower::Next() const {
+  if (pause_ > Duration::zero()) return FollowPause{pause_};
+  if (!newest_done_) return FollowNewest{after_};
+  return FollowRecords{next_};
+}
+
+void TopicFollower::OnNewest(const NewestPage& page) {
+  // Pages are no snapshot: what was written since the first one is read as records.
+  if (first_page_) next_ = page.end;
+  first_page_ = false;
+  for (const TopicRecord& record : page.records) {
+    seen_.push_back(record.key);
+    sink_(record);
+  }
+  if (page.more && !page.records.empty()) {
+    after_ = page.records.back().key;
+    return;
+  }
+  std::sort(seen_.begin(), seen_.end());
+  for (const std::string& key : known_) {
+    if (!std::binary_search(seen_.begin(), seen_.end(), key)) sink_({key, std::nullopt});
+  }
+  known_ = std::exchange(seen_, {});
+  newest_done_ = true;
+  complete_ = true;
+}
+
+void TopicFollower::OnRecords(const RecordPage& page) {
+  next_ = page.next;
+  for (const TopicRecord& record : page.records) {
+    const auto place = std::lower_bound(known_.begin(), known_.end(), record.key);
+    const bool is_known = place != known_.end() && *place == record.key;
+    if (record.value && !is_known) known_.insert(place, record.key);
+    if (!record.value && is_known) known_.erase(place);
+    sink_(record);
+  }
+  pause_ = options_.interval;
+}
+
+void TopicFollower::OnExpired() {
+  newest_done_ = false;
+  first_page_ = true;
+  after_.clear();
+  seen_.clear();
+}
+
+void TopicFollower::OnFailed(double random) {
+  pause_ = Duration(static_cast<std::int64_t>(static_cast<double>(options_.retry_pause.count()) *
+                                              (0.5 + random / 2)));
+}
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/topic_follower.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "libgateway/platform_adapter.h"
+
+namespace mulberry::gateway {
+
+/// How a topic is followed.
+struct FollowOptions {
+  /// Time that the store may hold a read until there is a record; zero answers at once.
+  Duration wait{};
+  /// Pause between reads.
+  Duration interval{};
+  /// Pause after a failed read; random within half of it, so that hosts spread.
+  Duration retry_pause = std::chrono::milliseconds(300);
+};
+
+/// Next step of a follower.
+struct FollowPause {
+  Duration wait{};
+};
+struct FollowNewest {
+  std::string after;
+};
+struct FollowRecords {
+  Offset from;
+};
+using FollowStep = std::variant<FollowPause, FollowNewest, FollowRecords>;
+
+/// Decides how a keyed topic is read: the newest record of each key first, then what follows; the
+/// newest ones again when records have expired. Records reach the sink in the order of the topic.
+/// A key that was there before and is not among the newest ones counts as removed. Pure. Not
+/// thread safe.
+class TopicFollower {
+ public:
+  /// Takes one record; `removed_unseen` keys are reported without a value.
+  using Sink = std::function<void(const TopicRecord&)>;
+
+  TopicFollower(FollowOptions options, Sink sink);
+
+  /// Returns what to do now.
+  FollowStep Next() const;
+  /// Pauses are over.
+  void OnPauseOver() { pause_ = Duration::zero(); }
+
+  void OnNewest(const NewestPage& page);
+  void OnRecords(const RecordPage& page);
+  /// Records were asked for that the store has deleted.
+  void OnExpired();
+  /// `random` is between 0 and 1.
+  void OnFailed(double random);
+
+  /// True once all newest records have been read since the start.
+  bool complete() const { return complete_; }
+  Offset next_offset() const { return next_; }
+
+ private:
+  FollowOptions options_;
+  Sink sink_;
+  bool complete_ = false;
+  bool newest_done_ = false;
+  bool first_page_ = true;
+  std::string after_;
+  Offset next_;
+  Duration pause_{};
+  std::vector<std::string> known_;
+  std::vector<std::string> seen_;
+};
+
+}  // namespace mulberry::gateway
--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -21,18 +21,6 @@
 /// Idle exchanges kept for reuse.
 constexpr std::size_t kMaxIdleExchanges = 512;
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  for (char& letter : lower) letter = static_cast<char>(std::tolower(letter));
-  return lower;
-}
-
-std::string_view Trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 bool HasControlCharacter(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char letter) {
     return static_cast<unsigned char>(letter) < 0x20 || letter == 0x7f;
--- a/src/libtransport/http_server.cc
+++ b/src/libtransport/http_server.cc
@@ -140,12 +140,6 @@
 using ConnectionFactory = restinio::impl::connection_factory_t<ServerTraits>;
 using LifetimeMonitor = restinio::connection_count_limit_types<ServerTraits>::lifetime_monitor_t;
 
-std::string LowerCase(const std::string& text) {
-  std::string lower = text;
-  for (char& letter : lower) letter = static_cast<char>(std::tolower(letter));
-  return lower;
-}
-
 ServerRequest ToServerRequest(const restinio::request_t& request, std::size_t* head_bytes) {
   ServerRequest result;
   const auto& header = request.header();
--- a/src/mulberryd/main.cc
+++ b/src/mulberryd/main.cc
@@ -2,20 +2,26 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <random>
 
+#include "libgateway/gateway.h"
 #include "mulberryd/entry_node.h"
+#include "platform/platform.h"
 
 ABSL_FLAG(std::string, config, "", "Settings file (INI), see examples/");
+ABSL_FLAG(std::string, gateway, "",
+          "Settings file (INI) of a gateway on a platform with a metadata store");
 ABSL_FLAG(bool, check, false, "Check the settings and exit");
 
 namespace mulberry {
 namespace {
 
 constexpr int kUsageError = 1;
+constexpr int kStartError = 2;
 
 StartId NewStartId() {
   std::random_device random;
@@ -23,7 +29,8 @@
   return StartId((high << 32U | random()) >> 1U | 1U);
 }
 
-void StopOnSignal(asio::signal_set& signals, EntryNode& node) {
+template <class Node>
+void StopOnSignal(asio::signal_set& signals, Node& node) {
   signals.async_wait([&](const std::error_code& error, int) {
     if (error) {
       return;
@@ -52,12 +59,59 @@
   return 0;
 }
 
+int RunGateway(const gateway::GatewaySettings& settings) {
+  LogLevel level = LogLevel::kInfo;
+  ParseLogLevel(settings.log_level, &level);
+  ConfigureLog(level, "mulberryd", LogOutput::kBufferedStdout);
+  asio::io_context io(1);
+  const StartId start = NewStartId();
+  const auto adapter = platform::MakeAdapter();
+  gateway::GatewayNode node(io, settings, *adapter, start);
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  StopOnSignal(signals, node);
+  LogEvent(LogLevel::kInfo, "started",
+           {{"host", settings.host.str()},
+            {"data_centre", settings.data_centre.str()},
+            {"start_id", start.value()}});
+  const auto started = node.Start();
+  if (!started) {
+    LogEvent(LogLevel::kError, "start_failed", {{"error", started.error().message}});
+    FlushLog();
+    return kStartError;
+  }
+  io.run();
+  FlushLog();
+  return 0;
+}
+
+int MainGateway(const std::string& file) {
+  const auto settings = gateway::LoadGatewaySettings(file);
+  if (!settings) {
+    std::fprintf(stderr, "mulberryd: %s\n", settings.error().message.c_str());
+    return kUsageError;
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    std::printf("%s: ok\n", file.c_str());
+    return 0;
+  }
+  return RunGateway(settings.value());
+}
+
 int Main(int argc, char** argv) {
-  absl::SetProgramUsageMessage("mulberryd --config FILE [--check]\nRuns one entry host.");
+  absl::SetProgramUsageMessage(
+      "mulberryd --config=FILE [--check]\n"
+      "mulberryd --gateway=FILE [--check]\n"
+      "Runs one entry host.\n"
+      "  --config=FILE   settings of an entry host with peers and a log service (INI)\n"
+      "  --gateway=FILE  settings of a gateway on a platform with a metadata store (INI)\n"
+      "  --check         check the settings and exit");
   absl::ParseCommandLine(argc, argv);
+  if (const std::string gateway_file = absl::GetFlag(FLAGS_gateway); !gateway_file.empty()) {
+    return MainGateway(gateway_file);
+  }
   const std::string file = absl::GetFlag(FLAGS_config);
   if (file.empty()) {
-    std::fprintf(stderr, "mulberryd: --config FILE is required\n");
+    std::fprintf(stderr, "mulberryd: --config=FILE or --gateway=FILE is required\n");
     return kUsageError;
   }
   const auto settings = LoadSettings(file);
