Shared load, health checks of deciders, two readers of the store, reload at SIGHUP

Change: the two hosts of a data centre that are named to callers check their servers' load every 60 ms, share what they learn by datagram, and prefer their own data centre; two hosts read the store and pass changes on by offset; SIGHUP reloads settings.

--- a/src/libgateway/entry_keeper.cc
+++ b/src/libgateway/entry_keeper.cc
@@ -8,14 +8,14 @@
 }
 
 bool EntryKeeper::OnVanished(const ServerName& id, TimePoint now) {
-  if (!away_ && now >= back_until_) return true;
+  if (Settled(now)) return true;
   lapsed_.insert(id);
   return false;
 }
 
 std::vector<ServerName> EntryKeeper::TakeGone(TimePoint now) {
   std::vector<ServerName> gone;
-  if (away_ || now < back_until_) return gone;
+  if (!Settled(now)) return gone;
   gone.assign(lapsed_.begin(), lapsed_.end());
   lapsed_.clear();
   return gone;
--- a/src/libgateway/entry_keeper.h
+++ b/src/libgateway/entry_keeper.h
@@ -19,6 +19,8 @@
   void OnStoreAnswers(TimePoint now);
   void OnStoreLost() { away_ = true; }
 
+  /// True when a vanished entry means that its server is gone.
+  bool Settled(TimePoint now) const { return !away_ && now >= back_until_; }
   void OnPresent(const ServerName& id) { lapsed_.erase(id); }
   /// Returns true when the server is gone now; otherwise it may turn up in TakeGone.
   bool OnVanished(const ServerName& id, TimePoint now);
--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -30,7 +30,8 @@
   return true;
 }
 
-void FleetView::SetSelf(bool ready, bool leaving) {
+void FleetView::SetSelf(bool ready, bool leaving, bool store_answers) {
+  store_answers_ = store_answers;
   ready_ = ready;
   leaving_ = leaving;
 }
@@ -65,10 +66,33 @@
   return addresses;
 }
 
-bool FleetView::IsDecider(TimePoint now) const {
+DeciderPlace FleetView::PlaceOfSelf(TimePoint now) const {
   const std::vector<Candidate> deciders = DecidersOf(options_.self.data_centre, now);
-  return std::any_of(deciders.begin(), deciders.end(),
-                     [](const Candidate& candidate) { return candidate.is_self; });
+  for (std::size_t i = 0; i < deciders.size(); ++i) {
+    if (!deciders[i].is_self) continue;
+    return {static_cast<std::uint32_t>(i), static_cast<std::uint32_t>(deciders.size())};
+  }
+  return {};
+}
+
+std::vector<std::string> FleetView::OtherDeciders(TimePoint now) const {
+  std::vector<std::string> addresses;
+  for (Candidate& decider : DecidersOf(options_.self.data_centre, now)) {
+    if (!decider.is_self) addresses.push_back(std::move(decider.peer_address));
+  }
+  return addresses;
+}
+
+bool FleetView::IsReader(TimePoint now) const {
+  std::vector<Candidate> able = Live(now);
+  std::erase_if(able, [](const Candidate& candidate) { return !candidate.store_answers; });
+  if (able.empty()) return true;
+  if (able.front().is_self) return true;
+  const auto second = std::find_if(able.begin(), able.end(), [&](const Candidate& candidate) {
+    return candidate.data_centre != able.front().data_centre;
+  });
+  if (second != able.end()) return second->is_self;
+  return able.size() > 1 && able[1].is_self;
 }
 
 bool FleetView::IsFirstChoice() const {
@@ -84,12 +108,14 @@
   std::vector<Candidate> live;
   if (ready_ && !leaving_) {
     live.push_back({RankOf(options_.self.host), options_.self.data_centre,
-                    options_.self_caller_address, true});
+                    options_.self_caller_address, options_.self.peer_address, true,
+                    store_answers_});
   }
   for (const auto& [name, peer] : peers_) {
     if (!peer.heard || now - peer.last_heard > options_.silent_after) continue;
     if (peer.beat.leaving || !peer.beat.ready) continue;
-    live.push_back({RankOf(name), peer.beat.record.data_centre, peer.beat.caller_address, false});
+    live.push_back({RankOf(name), peer.beat.record.data_centre, peer.beat.caller_address,
+                    peer.beat.record.peer_address, false, peer.beat.store_answers});
   }
   std::sort(live.begin(), live.end());
   return live;
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -19,6 +19,14 @@
   ConfigVersion version;
   /// The next offset of the operators' topic that the host would read.
   Offset operator_offset;
+  /// The store answers this host.
+  bool store_answers = false;
+};
+
+/// A host's place among those named to the callers of its data centre.
+struct DeciderPlace {
+  std::uint32_t index = 0;
+  std::uint32_t count = 0;  ///< Zero when the host is none of them.
 };
 
 struct FleetOptions {
@@ -41,7 +49,7 @@
   /// Takes a host's own word; false when it is older than a known start or about this host.
   bool OnBeat(const HostBeat& beat, TimePoint now);
   /// This host itself stops or is not ready.
-  void SetSelf(bool ready, bool leaving);
+  void SetSelf(bool ready, bool leaving, bool store_answers);
 
   /// All other hosts, to send beats to.
   std::vector<HostRecord> Others() const;
@@ -52,8 +60,13 @@
   /// Addresses for a caller of a data centre: its deciders, or those of the next data centre in
   /// order when it has none. Never empty while this host is ready.
   std::vector<std::string> AddressesFor(const DataCentreName& data_centre, TimePoint now) const;
-  /// True when this host is named to the callers of its data centre.
-  bool IsDecider(TimePoint now) const;
+  /// This host's place among those named to the callers of its data centre.
+  DeciderPlace PlaceOfSelf(TimePoint now) const;
+  /// The other hosts that are named there, for sharing what is known of servers.
+  std::vector<std::string> OtherDeciders(TimePoint now) const;
+  /// True when this host reads the store for all: it is one of the first two live hosts in rank
+  /// that the store answers, in two data centres where there are.
+  bool IsReader(TimePoint now) const;
   /// True when it would be named also if every registered host were alive.
   bool IsFirstChoice() const;
 
@@ -67,7 +80,9 @@
     std::uint64_t rank = 0;
     DataCentreName data_centre;
     std::string caller_address;
+    std::string peer_address;
     bool is_self = false;
+    bool store_answers = false;
     bool operator<(const Candidate& other) const { return rank < other.rank; }
   };
 
@@ -78,6 +93,7 @@
   FleetOptions options_;
   bool ready_ = false;
   bool leaving_ = false;
+  bool store_answers_ = false;
   std::map<HostName, Peer> peers_;
 };
 
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -69,6 +69,11 @@
   for (auto& [service, window] : retry_windows_) window.SetSlackPart(part);
 }
 
+void Forwarder::SetRetryLimits(const RetryLimits& limits) {
+  parts_.retries = limits;
+  for (auto& [service, window] : retry_windows_) window.SetLimits(limits);
+}
+
 void Forwarder::OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) {
   const HeaderNames& names = parts_.adapter.headers();
   auto call = std::make_unique<Call>();
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -44,6 +44,7 @@
   void SetServer(CallerServer* server) { server_ = server; }
   /// Sets this host's part of fleet-wide slack, 0 to 1.
   void SetSlackPart(double part);
+  void SetRetryLimits(const RetryLimits& limits);
 
   void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) override;
   void OnGone(ExchangeId exchange) override;
--- a/src/libgateway/gateway_metrics.cc
+++ b/src/libgateway/gateway_metrics.cc
@@ -38,6 +38,13 @@
       .Add();
 }
 
+void GatewayMetrics::OnProbe(std::string_view end) {
+  metrics_
+      .CounterFor("mulberry_probes_total", "Health checks of backend servers by their end",
+                  {{"end", std::string(end)}})
+      .Add();
+}
+
 void GatewayMetrics::OnCallerGone() {
   metrics_.CounterFor("mulberry_callers_gone_total", "Requests whose caller left").Add();
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -16,6 +16,7 @@
   void OnRefusal(std::string_view reason);
   void OnAttempt(std::string_view end, Duration took);
   void OnRetry(std::string_view reason);
+  void OnProbe(std::string_view end);
   void OnCallerGone();
   void OnQueueWait(Duration waited);
   void SetGauge(const std::string& name, const std::string& help, double value);
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -36,6 +36,11 @@
 /// Time to let the last answers leave the sockets before the process ends.
 constexpr Duration kFlushTime = std::chrono::milliseconds(50);
 
+/// How often load is checked and shared; small beside the time for which a report holds.
+constexpr Duration kLoadTick = std::chrono::milliseconds(25);
+/// Older load is refreshed by a health check.
+constexpr Duration kLoadAge = std::chrono::milliseconds(60);
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
@@ -75,16 +80,20 @@
       store_(io, settings.store_address),
       operator_reader_(
           io, store_, adapter, Topic::kOperator, {.wait = kOperatorWait},
-          [this](const TopicRecord& record) { OnOperatorRecord(record); }, [] {}),
+          [this](const TopicRecord& record) { OnOperatorRecord(record); },
+          [this](Offset before) {
+            if (before != operator_reader_.next_offset()) SendBeat();
+          }),
       server_reader_(
           io, store_, adapter, Topic::kServers, {.interval = ServerInterval(settings)},
           [this](const TopicRecord& record) { OnServerRecord(record); },
-          [this] { OnServersRead(); }),
+          [this](Offset before) { OnServersRead(before); }),
       host_reader_(
           io, store_, adapter, Topic::kHosts, {.interval = kHostInterval},
-          [this](const TopicRecord& record) { OnHostRecord(record); }, [] {}),
+          [this](const TopicRecord& record) { OnHostRecord(record); }, [](Offset) {}),
       peers_(io, [this](const PeerMessage& message) { OnPeer(message); }),
       forwarder_({io, adapter, config_, pool_, metrics_, settings.retries}),
+      load_watch_(io, adapter, pool_, metrics_),
       readiness_(io, [this](const HttpMessage& question) { return AnswerReadiness(question); }),
       directory_(io, [this](const HttpMessage& question) { return AnswerAddresses(question); }),
       metrics_server_(io,
@@ -95,6 +104,7 @@
       tick_timer_(io),
       beat_timer_(io),
       announce_timer_(io),
+      load_timer_(io),
       end_timer_(io) {
   forwarder_.SetServer(&callers_);
 }
@@ -116,6 +126,7 @@
   Announce();
   Tick();
   SendBeat();
+  WatchLoad();
   return boost::outcome_v2::success();
 }
 
@@ -125,8 +136,7 @@
   const HostRecord self{settings_.host, settings_.data_centre,
                         settings_.ip + ":" + std::to_string(settings_.peer_port)};
   store_.Call(adapter_.PutHost(self), kAnnounceTimeout, [this](const Result<HttpMessage>& answer) {
-    announced_ = answer && answer.value().status == kStatusOk;
-    if (announced_) {
+    if (answer && answer.value().status == kStatusOk) {
       host_reader_.Start();
       return;
     }
@@ -183,6 +193,7 @@
   const TimePoint now = MonotonicClock::now();
   const ServerName id(record.key);
   if (!record.value) {
+    changes_.push_back(record);
     if (!pool_.Known(id)) return;
     const bool gone = entries_.OnVanished(id, now);
     LogEvent(LogLevel::kInfo, gone ? "server_gone" : "server_lapsed", {{"server", id.str()}});
@@ -197,7 +208,7 @@
   }
   entries_.OnPresent(id);
   const std::string before = pool_.Describe(id, now);
-  pool_.Put(entry.value(), now);
+  if (pool_.Put(entry.value(), now)) changes_.push_back(record);
   const std::string after = pool_.Describe(id, now);
   if (before != after) {
     LogEvent(LogLevel::kInfo, "server_entry",
@@ -208,11 +219,64 @@
   }
 }
 
-void GatewayNode::OnServersRead() {
-  entries_.OnStoreAnswers(MonotonicClock::now());
+/// Passes on what a read has changed, so that not every host has to read.
+void GatewayNode::OnServersRead(Offset before) {
+  const TimePoint now = MonotonicClock::now();
+  entries_.OnStoreAnswers(now);
+  forwarder_.Pump();
+  std::vector<TopicRecord> changes = std::exchange(changes_, {});
+  if (!fleet_.IsReader(now)) return;
+  PeerMessage message;
+  message.beat = OwnBeat();
+  message.news =
+      ServerNews{before, server_reader_.next_offset(), entries_.Settled(now), std::move(changes)};
+  if (peers_.Send(message, AllPeers())) return;
+  // Too much for a datagram: the others see the gap at the next one and read for themselves.
+}
+
+void GatewayNode::OnNews(const ServerNews& news, TimePoint now) {
+  news_heard_ = now;
+  if (!server_reader_.complete()) return;
+  if (!news.settled) {
+    entries_.OnStoreLost();
+    entries_.OnStoreAnswers(now);
+  }
+  server_reader_.OnRelayed(news.from, news.to, news.records);
+  changes_.clear();
   forwarder_.Pump();
 }
 
+/// Hosts that hear what others read do not read themselves.
+void GatewayNode::ChooseReaders(TimePoint now) {
+  const bool hears = now - news_heard_ < settings_.leaving_bound / 2;
+  const bool leaves_reading = hears && !fleet_.IsReader(now);
+  server_reader_.SetSuspended(leaves_reading);
+  operator_reader_.SetSuspended(leaves_reading);
+}
+
+/// Keeps the load of this data centre's servers fresh, and shares it with those who place too.
+void GatewayNode::WatchLoad() {
+  const TimePoint now = MonotonicClock::now();
+  const DeciderPlace place = fleet_.PlaceOfSelf(now);
+  load_watch_.Tick({place.index, place.count, kLoadAge}, now);
+  std::vector<ServerName> reported = forwarder_.TakeReported();
+  for (ServerName& server : load_watch_.TakeReported()) reported.push_back(std::move(server));
+  const std::vector<std::string> others = fleet_.OtherDeciders(now);
+  if (!reported.empty() && !others.empty()) {
+    PeerMessage message;
+    message.beat = OwnBeat();
+    for (const ServerName& server : reported) {
+      const auto load = pool_.LoadReportOf(server);
+      if (load) message.loads.push_back({server, load->report, now - load->made});
+    }
+    peers_.Send(message, others);
+  }
+  load_timer_.expires_after(kLoadTick);
+  load_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) WatchLoad();
+  });
+}
+
 void GatewayNode::OnHostRecord(const TopicRecord& record) {
   if (!record.value) return;
   const auto host = adapter_.ParseHost(record);
@@ -228,6 +292,7 @@
 void GatewayNode::OnPeer(const PeerMessage& message) {
   const TimePoint now = MonotonicClock::now();
   if (!fleet_.OnBeat(message.beat, now)) return;
+  if (message.news) OnNews(*message.news, now);
   for (const SharedLoad& load : message.loads) {
     pool_.OnReport(load.id, load.report, now - load.age);
   }
@@ -238,19 +303,30 @@
   }
 }
 
-void GatewayNode::SendBeat() {
-  PeerMessage message;
-  message.beat.record = {settings_.host, settings_.data_centre,
-                         settings_.ip + ":" + std::to_string(settings_.peer_port)};
-  message.beat.start = start_;
-  message.beat.caller_address = settings_.callers;
-  message.beat.leaving = stopping_;
-  message.beat.ready = Ready();
-  message.beat.version = config_.version();
-  message.beat.operator_offset = operator_reader_.next_offset();
+HostBeat GatewayNode::OwnBeat() const {
+  HostBeat beat;
+  beat.record = {settings_.host, settings_.data_centre,
+                 settings_.ip + ":" + std::to_string(settings_.peer_port)};
+  beat.start = start_;
+  beat.caller_address = settings_.callers;
+  beat.leaving = stopping_;
+  beat.ready = Ready();
+  beat.version = config_.version();
+  beat.operator_offset = operator_reader_.next_offset();
+  beat.store_answers = server_reader_.complete() && !server_reader_.failing();
+  return beat;
+}
+
+std::vector<std::string> GatewayNode::AllPeers() const {
   std::vector<std::string> addresses;
   for (const HostRecord& host : fleet_.Others()) addresses.push_back(host.peer_address);
-  peers_.Send(message, addresses);
+  return addresses;
+}
+
+void GatewayNode::SendBeat() {
+  PeerMessage message;
+  message.beat = OwnBeat();
+  peers_.Send(message, AllPeers());
   beat_timer_.expires_after(kBeat);
   beat_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) SendBeat();
@@ -278,7 +354,7 @@
 }
 
 void GatewayNode::UpdateShares(TimePoint now) {
-  fleet_.SetSelf(Ready(), stopping_);
+  fleet_.SetSelf(Ready(), stopping_, server_reader_.complete() && !server_reader_.failing());
   forwarder_.SetSlackPart(1.0 / static_cast<double>(fleet_.Hosts()));
   pool_.SetColdShare(ColdShare(now));
 }
@@ -290,7 +366,7 @@
   const auto hosts = static_cast<double>(fleet_.HostsOfDataCentre());
   const double first = std::min<double>(hosts, kDeciders);
   if (fleet_.IsFirstChoice()) return kColdPart * kFirstChoicePart / first;
-  if (!fleet_.IsDecider(now)) return 0;
+  if (fleet_.PlaceOfSelf(now).count == 0) return 0;
   return kColdPart * (1 - kFirstChoicePart) / std::max(1.0, hosts - first);
 }
 
@@ -302,6 +378,7 @@
     pool_.Remove(id);
   }
   UpdateShares(now);
+  ChooseReaders(now);
   if (Ready() != was_ready_) {
     was_ready_ = Ready();
     LogEvent(LogLevel::kInfo, was_ready_ ? "ready" : "not_ready",
@@ -336,6 +413,28 @@
                     static_cast<double>(store_.calls()));
 }
 
+void GatewayNode::Reload(const GatewaySettings& settings) {
+  const bool moved =
+      settings.callers != settings_.callers || settings.readiness != settings_.readiness ||
+      settings.directory != settings_.directory || settings.peer_port != settings_.peer_port ||
+      settings.metrics_port != settings_.metrics_port || settings.host != settings_.host ||
+      settings.ip != settings_.ip;
+  if (moved) LogEvent(LogLevel::kWarning, "reload_needs_restart", {{"part", "addresses or name"}});
+  settings_.leaving_bound = settings.leaving_bound;
+  settings_.longest_ttl = settings.longest_ttl;
+  settings_.grace = settings.grace;
+  settings_.retries = settings.retries;
+  settings_.cold_overage = settings.cold_overage;
+  settings_.cold_slack = settings.cold_slack;
+  pool_.SetColdBound(settings.cold_overage, settings.cold_slack);
+  forwarder_.SetRetryLimits(settings.retries);
+  if (settings.store_address != settings_.store_address) {
+    settings_.store_address = settings.store_address;
+    store_.SetAddress(settings.store_address);
+  }
+  LogEvent(LogLevel::kInfo, "reloaded", {{"store", settings_.store_address}});
+}
+
 void GatewayNode::Stop() {
   if (stopping_) return;
   stopping_ = true;
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -11,6 +11,7 @@
 #include "libgateway/forwarder.h"
 #include "libgateway/gateway_metrics.h"
 #include "libgateway/gateway_settings.h"
+#include "libgateway/load_watch.h"
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
 #include "libgateway/question_server.h"
@@ -30,6 +31,9 @@
   /// Errors: a port can't be opened.
   Result<void> Start();
 
+  /// Takes settings that were read anew. Addresses and names stay as they are until a restart.
+  void Reload(const GatewaySettings& settings);
+
   /// Leaves: not ready, gone from the directory, and ended when idle or shortly before the kill.
   void Stop();
 
@@ -37,7 +41,12 @@
   void OnOperatorRecord(const TopicRecord& record);
   void OnServerRecord(const TopicRecord& record);
   void OnHostRecord(const TopicRecord& record);
-  void OnServersRead();
+  void OnServersRead(Offset before);
+  void OnNews(const ServerNews& news, TimePoint now);
+  void ChooseReaders(TimePoint now);
+  void WatchLoad();
+  HostBeat OwnBeat() const;
+  std::vector<std::string> AllPeers() const;
   QuestionAnswer AnswerReadiness(const HttpMessage& question) const;
   QuestionAnswer AnswerAddresses(const HttpMessage& question) const;
   void OnPeer(const PeerMessage& message);
@@ -66,6 +75,7 @@
   StoreReader host_reader_;
   PeerChannel peers_;
   Forwarder forwarder_;
+  LoadWatch load_watch_;
   QuestionServer readiness_;
   QuestionServer directory_;
   QuestionServer metrics_server_;
@@ -73,10 +83,14 @@
   asio::steady_timer tick_timer_;
   asio::steady_timer beat_timer_;
   asio::steady_timer announce_timer_;
+  asio::steady_timer load_timer_;
   asio::steady_timer end_timer_;
   TimePoint started_;
   TimePoint stop_began_;
-  bool announced_ = false;
+  /// When another host last sent what it has read of the store.
+  TimePoint news_heard_;
+  std::vector<TopicRecord> changes_;  ///< Of the read that is being taken.
+  bool relaying_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
 };
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -11,6 +11,28 @@
 
 constexpr double kPercent = 100;
 
+void EncodeNews(const ServerNews& news, wire::ServerNews* out) {
+  out->set_from(news.from.value());
+  out->set_to(news.to.value());
+  out->set_settled(news.settled);
+  for (const TopicRecord& record : news.records) {
+    wire::ServerNews::Record* added = out->add_records();
+    added->set_key(record.key);
+    added->set_removed(!record.value);
+    if (record.value) added->set_value(*record.value);
+  }
+}
+
+ServerNews DecodeNews(const wire::ServerNews& in) {
+  ServerNews news{Offset(in.from()), Offset(in.to()), in.settled(), {}};
+  for (const wire::ServerNews::Record& record : in.records()) {
+    std::optional<std::string> value;
+    if (!record.removed()) value = record.value();
+    news.records.push_back({record.key(), std::move(value)});
+  }
+  return news;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -25,6 +47,8 @@
   out.set_ready(beat.ready);
   out.set_config_version(beat.version.value());
   out.set_operator_offset(beat.operator_offset.value());
+  out.set_store_answers(beat.store_answers);
+  if (message.news) EncodeNews(*message.news, out.mutable_news());
   for (const SharedLoad& load : message.loads) {
     wire::ServerLoad* added = out.add_loads();
     added->set_id(load.id.str());
@@ -52,6 +76,8 @@
   beat.ready = in.ready();
   beat.version = ConfigVersion(in.config_version());
   beat.operator_offset = Offset(in.operator_offset());
+  beat.store_answers = in.store_answers();
+  if (in.has_news()) message.news = DecodeNews(in.news());
   if (beat.record.host.empty() || !ParseEndpoint(beat.record.peer_address) ||
       !ParseEndpoint(beat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "no host or no address in a datagram");
@@ -89,11 +115,11 @@
   socket_.close(ignored);
 }
 
-void PeerChannel::Send(const PeerMessage& message, const std::vector<std::string>& addresses) {
+bool PeerChannel::Send(const PeerMessage& message, const std::vector<std::string>& addresses) {
   const std::string bytes = EncodePeerMessage(message);
   if (bytes.size() > kMostBytes) {
     LogEvent(LogLevel::kError, "datagram_too_large", {{"bytes", bytes.size()}});
-    return;
+    return false;
   }
   for (const std::string& address : addresses) {
     const auto endpoint = ParseEndpoint(address);
@@ -103,6 +129,7 @@
                     error);
     if (!error) ++sent_;
   }
+  return true;
 }
 
 void PeerChannel::Receive() {
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -5,11 +5,13 @@
 #include <asio/ip/udp.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "libbase/base.h"
 #include "libgateway/fleet_view.h"
+#include "libgateway/platform_adapter.h"
 #include "libgateway/types.h"
 
 namespace mulberry::gateway {
@@ -21,10 +23,21 @@
   Duration age{};
 };
 
+/// What another host has read of the servers' topic.
+struct ServerNews {
+  Offset from;
+  Offset to;
+  /// False while entries that lapsed during an outage of the store may still come back.
+  bool settled = true;
+  /// Records between the offsets that change something.
+  std::vector<TopicRecord> records;
+};
+
 /// What one datagram holds.
 struct PeerMessage {
   HostBeat beat;
   std::vector<SharedLoad> loads;
+  std::optional<ServerNews> news;
 };
 
 /// Datagrams between entry hosts. Losing one costs nothing, since each carries the whole present
@@ -40,14 +53,15 @@
   Result<void> Open(const std::string& ip, std::uint16_t port);
   void Close();
   /// Sends to each address; what can't be sent at once is dropped.
-  void Send(const PeerMessage& message, const std::vector<std::string>& addresses);
+  /// Returns false when the message is too large for a datagram.
+  bool Send(const PeerMessage& message, const std::vector<std::string>& addresses);
 
   std::uint64_t sent() const { return sent_; }
   std::uint64_t received() const { return received_count_; }
   std::uint64_t malformed() const { return malformed_; }
 
  private:
-  static constexpr std::size_t kMostBytes = 8 * 1024;
+  static constexpr std::size_t kMostBytes = 32 * 1024;
 
   void Receive();
   void TakeAll();
--- a/src/libgateway/retry_window.h
+++ b/src/libgateway/retry_window.h
@@ -28,6 +28,8 @@
   /// Sets this host's part of the slack, 0 to 1.
   void SetSlackPart(double part) { slack_part_ = part; }
 
+  void SetLimits(const RetryLimits& limits) { limits_ = limits; }
+
   /// Counts a request for the service.
   void OnRequest(TimePoint now);
 
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -12,6 +12,8 @@
 constexpr double kSmoothing = 1.0 / 16;
 /// After this time without a report, only this host's own requests are counted as load.
 constexpr Duration kReportLife = std::chrono::milliseconds(400);
+/// A service that was not asked for within this time is not checked.
+constexpr Duration kProbeAfterRequest = std::chrono::seconds(1);
 /// How much work slows down beyond the knee.
 constexpr double kKneeFactor = 1.7;
 /// Bounds of a server's speed relative to its service, against outliers.
@@ -60,7 +62,7 @@
   for (const auto& [name, service] : services) StateOf(name).service = service;
 }
 
-void ServerPool::Put(const ServerEntry& entry, TimePoint now) {
+bool ServerPool::Put(const ServerEntry& entry, TimePoint now) {
   auto [found, is_new] = servers_.try_emplace(entry.id);
   Server& server = found->second;
   const bool restarted = !is_new && server.entry.born_ms != entry.born_ms;
@@ -69,6 +71,11 @@
     by_service_[entry.service].push_back(entry.id);
   }
   if (is_new) by_service_[entry.service].push_back(entry.id);
+  const bool changed = is_new || restarted || server.entry.service != entry.service ||
+                       server.entry.address != entry.address ||
+                       server.entry.leaving != entry.leaving || server.entry.slots != entry.slots ||
+                       server.entry.data_centre != entry.data_centre ||
+                       entry.cold_left > Duration::zero();
   server.entry = entry;
   if (restarted) {
     server.health = ServerHealth();
@@ -78,6 +85,7 @@
   if (entry.cold_left > Duration::zero()) {
     server.cold_until = std::max(server.cold_until, now + entry.cold_left);
   }
+  return changed;
 }
 
 void ServerPool::Remove(const ServerName& id) {
@@ -102,6 +110,7 @@
                                                   const std::set<ServerName>& tried,
                                                   TimePoint now) {
   ServiceState& state = StateOf(service);
+  state.asked = now;
   Server* best = nullptr;
   Duration best_expected = Duration::max();
   NoChoice reason = NoChoice::kNoServer;
@@ -199,6 +208,27 @@
   return Duration(static_cast<std::int64_t>(found->second.time_us));
 }
 
+std::vector<ProbeTarget> ServerPool::DueProbes(const ProbeShare& share, TimePoint now) const {
+  std::vector<ProbeTarget> due;
+  if (share.count == 0) return due;
+  for (const auto& [id, server] : servers_) {
+    if (server.entry.data_centre != options_.data_centre || !Usable(server, now)) continue;
+    if (now - server.reported <= share.max_age) continue;
+    const auto service = services_.find(server.entry.service);
+    if (service == services_.end() || service->second.service.health_path.empty()) continue;
+    if (now - service->second.asked > kProbeAfterRequest) continue;
+    if (StableHash(id.str()) % share.count != share.index) continue;
+    due.push_back({id, server.entry.address, service->second.service.health_path});
+  }
+  return due;
+}
+
+std::optional<KnownLoad> ServerPool::LoadReportOf(const ServerName& id) const {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || found->second.reported == TimePoint()) return std::nullopt;
+  return KnownLoad{found->second.report, found->second.reported};
+}
+
 std::string ServerPool::Describe(const ServerName& id, TimePoint now) const {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return "unknown";
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -45,6 +45,27 @@
   bool cold = false;
 };
 
+/// A health check that is due.
+struct ProbeTarget {
+  ServerName id;
+  std::string address;
+  std::string health_path;
+};
+
+/// Which part of the health checks this host sends.
+struct ProbeShare {
+  std::uint32_t index = 0;
+  std::uint32_t count = 0;  ///< Hosts that share them; zero sends none.
+  /// Load that was learnt within this time needs no check.
+  Duration max_age{};
+};
+
+/// A server's load as this host knows it.
+struct KnownLoad {
+  LoadReport report;
+  TimePoint made;
+};
+
 /// Why no server could be chosen.
 enum class NoChoice { kNoServer, kAllBusy, kAllCold };
 
@@ -60,14 +81,19 @@
 
   /// Takes the services of a configuration.
   void SetServices(const std::map<ServiceName, Service>& services);
-  /// Adds a server or takes its newer entry.
-  void Put(const ServerEntry& entry, TimePoint now);
+  /// Adds a server or takes its newer entry; true when that changes what it may be sent.
+  bool Put(const ServerEntry& entry, TimePoint now);
   void Remove(const ServerName& id);
   /// Takes a data centre out or back; its servers count as cold when they come back.
   void SetOut(const DataCentreName& data_centre, bool out, TimePoint now);
   /// Sets the part, 0 to 1, of what a cold server bears that this host may send to each cold
   /// server of its own data centre; servers of others get none while cold.
   void SetColdShare(double share) { cold_share_ = share; }
+  /// Sets PoolOptions::cold_overage and cold_slack anew.
+  void SetColdBound(double overage, double slack) {
+    options_.cold_overage = overage;
+    options_.cold_slack = slack;
+  }
 
   /// Chooses the server with the least expected answer time. `tried` servers are left out.
   std::variant<NoChoice, Choice> Choose(const ServiceName& service,
@@ -80,6 +106,12 @@
   /// Takes a server's own word on how long it stays cold.
   void OnColdLeft(const ServerName& id, Duration left, TimePoint now);
 
+  /// Returns this host's checks: servers of its data centre whose service was asked for lately, and
+  /// whose load is older than the share's max_age.
+  std::vector<ProbeTarget> DueProbes(const ProbeShare& share, TimePoint now) const;
+  /// Returns a server's last report, empty when there is none.
+  std::optional<KnownLoad> LoadReportOf(const ServerName& id) const;
+
   /// Returns "warm", "cold", "leaving", "out", "ejected" or "unknown", for the log.
   std::string Describe(const ServerName& id, TimePoint now) const;
 
@@ -106,6 +138,7 @@
     Service service;
     double time_us = 0;
     double mean_slowness = 1;
+    TimePoint asked;  ///< When a server was last chosen.
   };
 
   bool Usable(const Server& server, TimePoint now) const;
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -95,11 +95,17 @@
   if (resumed && !calling_) Hurry();
 }
 
+void StoreReader::OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records) {
+  // A read that is running asks from the offset before; its records would be taken twice, which
+  // does no harm, since they are taken in order.
+  if (!follower_.OnRelayed(from, to, records)) Hurry();
+}
+
 void StoreReader::Step() {
   if (calling_) return;
+  if (suspended_ && follower_.complete() && !hurried_ && !failing_) return;
   const FollowStep step = follower_.Next();
   if (const auto* pause = std::get_if<FollowPause>(&step)) {
-    if (suspended_ && follower_.complete() && !hurried_ && !failing_) return;
     timer_.expires_after(pause->wait);
     timer_.async_wait([this](const asio::error_code& error) {
       if (error) return;
@@ -142,6 +148,7 @@
     Fail("status " + std::to_string(message.status));
     return;
   }
+  const Offset before = follower_.next_offset();
   const auto taken = Take(step, message);
   if (!taken) {
     Fail(taken.error().message);
@@ -154,7 +161,7 @@
              {{"topic", TopicName(topic_)}, {"offset", follower_.next_offset().value()}});
   }
   failing_ = false;
-  updated_();
+  updated_(before);
 }
 
 Result<void> StoreReader::Take(const FollowStep& step, const HttpMessage& answer) {
--- a/src/libgateway/store_reader.h
+++ b/src/libgateway/store_reader.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "libgateway/link_pool.h"
 #include "libgateway/platform_adapter.h"
@@ -23,6 +24,8 @@
   StoreClient(asio::io_context& io, std::string address);
 
   void Call(const StoreCall& call, Duration timeout, Done done);
+  /// Later calls go to this address.
+  void SetAddress(std::string address) { address_ = std::move(address); }
   std::uint64_t calls() const { return calls_; }
   LinkPool& links() { return links_; }
 
@@ -37,8 +40,8 @@
 /// io_context.
 class StoreReader {
  public:
-  /// Called after each successful read.
-  using Updated = std::function<void()>;
+  /// Called after each successful read, with the offset before it.
+  using Updated = std::function<void(Offset before)>;
 
   StoreReader(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter, Topic topic,
               FollowOptions options, TopicFollower::Sink sink, Updated updated);
@@ -49,6 +52,9 @@
   /// While set, the topic is not read unless Hurry is called.
   void SetSuspended(bool suspended);
 
+  /// Takes what another host has read; records that are missing here are read from the store.
+  void OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records);
+
   bool complete() const { return follower_.complete(); }
   Offset next_offset() const { return follower_.next_offset(); }
   /// When the store last answered.
--- a/src/libgateway/topic_follower.cc
+++ b/src/libgateway/topic_follower.cc
@@ -37,14 +37,26 @@
 
 void TopicFollower::OnRecords(const RecordPage& page) {
   next_ = page.next;
-  for (const TopicRecord& record : page.records) {
+  Deliver(page.records);
+  pause_ = options_.interval;
+}
+
+bool TopicFollower::OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records) {
+  if (!newest_done_ || from > next_) return false;
+  if (to <= next_) return true;
+  next_ = to;
+  Deliver(records);
+  return true;
+}
+
+void TopicFollower::Deliver(const std::vector<TopicRecord>& records) {
+  for (const TopicRecord& record : records) {
     const auto place = std::lower_bound(known_.begin(), known_.end(), record.key);
     const bool is_known = place != known_.end() && *place == record.key;
     if (record.value && !is_known) known_.insert(place, record.key);
     if (!record.value && is_known) known_.erase(place);
     sink_(record);
   }
-  pause_ = options_.interval;
 }
 
 void TopicFollower::OnExpired() {
--- a/src/libgateway/topic_follower.h
+++ b/src/libgateway/topic_follower.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "libgateway/platform_adapter.h"
 
@@ -48,6 +49,9 @@
 
   void OnNewest(const NewestPage& page);
   void OnRecords(const RecordPage& page);
+  /// Takes records that another host has read, from one offset to another; false when some before
+  /// them are missing here.
+  bool OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records);
   /// Records were asked for that the store has deleted.
   void OnExpired();
   /// `random` is between 0 and 1.
@@ -58,6 +62,8 @@
   Offset next_offset() const { return next_; }
 
  private:
+  void Deliver(const std::vector<TopicRecord>& records);
+
   FollowOptions options_;
   Sink sink_;
   bool complete_ = false;
--- a/src/mulberryd/main.cc
+++ b/src/mulberryd/main.cc
@@ -59,7 +59,24 @@
   return 0;
 }
 
-int RunGateway(const gateway::GatewaySettings& settings) {
+/// Reads the settings again at each SIGHUP; unusable ones change nothing.
+void ReloadOnSignal(asio::signal_set& signals, const std::string& file,
+                    gateway::GatewayNode& node) {
+  signals.async_wait([&](const std::error_code& error, int) {
+    if (error) {
+      return;
+    }
+    const auto settings = gateway::LoadGatewaySettings(file);
+    if (settings) {
+      node.Reload(settings.value());
+    } else {
+      LogEvent(LogLevel::kError, "reload_failed", {{"error", settings.error().message}});
+    }
+    ReloadOnSignal(signals, file, node);
+  });
+}
+
+int RunGateway(const gateway::GatewaySettings& settings, const std::string& file) {
   LogLevel level = LogLevel::kInfo;
   ParseLogLevel(settings.log_level, &level);
   ConfigureLog(level, "mulberryd", LogOutput::kBufferedStdout);
@@ -69,6 +86,8 @@
   gateway::GatewayNode node(io, settings, *adapter, start);
   asio::signal_set signals(io, SIGTERM, SIGINT);
   StopOnSignal(signals, node);
+  asio::signal_set reload_signals(io, SIGHUP);
+  ReloadOnSignal(reload_signals, file, node);
   LogEvent(LogLevel::kInfo, "started",
            {{"host", settings.host.str()},
             {"data_centre", settings.data_centre.str()},
@@ -94,7 +113,7 @@
     std::printf("%s: ok\n", file.c_str());
     return 0;
   }
-  return RunGateway(settings.value());
+  return RunGateway(settings.value(), file);
 }
 
 int Main(int argc, char** argv) {
