Outage windows that peers pass on decay

Ruled out: a lost datagram (the gap is read at once), slow reads (all hosts saw the removal in time). Change: the time that is left is passed on, not the fact.

--- a/src/libgateway/entry_keeper.cc
+++ b/src/libgateway/entry_keeper.cc
@@ -1,5 +1,7 @@
 #include "libgateway/entry_keeper.h"
 
+#include <algorithm>
+
 namespace mulberry::gateway {
 
 void EntryKeeper::OnStoreAnswers(TimePoint now) {
@@ -7,6 +9,16 @@
   away_ = false;
 }
 
+Duration EntryKeeper::UnsettledFor(TimePoint now) const {
+  if (away_) return return_time_;
+  return std::max(Duration::zero(), Duration(back_until_ - now));
+}
+
+void EntryKeeper::OnUnsettled(Duration left, TimePoint now) {
+  away_ = false;
+  back_until_ = std::max(back_until_, now + std::min(left, return_time_));
+}
+
 bool EntryKeeper::OnVanished(const ServerName& id, TimePoint now) {
   if (Settled(now)) return true;
   lapsed_.insert(id);
--- a/src/libgateway/entry_keeper.h
+++ b/src/libgateway/entry_keeper.h
@@ -19,8 +19,10 @@
   void OnStoreAnswers(TimePoint now);
   void OnStoreLost() { away_ = true; }
 
-  /// True when a vanished entry means that its server is gone.
-  bool Settled(TimePoint now) const { return !away_ && now >= back_until_; }
+  /// How much longer a vanished entry may come back; zero when it means that its server is gone.
+  Duration UnsettledFor(TimePoint now) const;
+  /// Another host has seen an outage; entries may come back for this long.
+  void OnUnsettled(Duration left, TimePoint now);
   void OnPresent(const ServerName& id) { lapsed_.erase(id); }
   /// Returns true when the server is gone now; otherwise it may turn up in TakeGone.
   bool OnVanished(const ServerName& id, TimePoint now);
@@ -28,6 +30,8 @@
   std::vector<ServerName> TakeGone(TimePoint now);
 
  private:
+  bool Settled(TimePoint now) const { return !away_ && now >= back_until_; }
+
   Duration return_time_;
   bool away_ = true;
   TimePoint back_until_;
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -228,8 +228,8 @@
   if (!fleet_.IsReader(now)) return;
   PeerMessage message;
   message.beat = OwnBeat();
-  message.news =
-      ServerNews{before, server_reader_.next_offset(), entries_.Settled(now), std::move(changes)};
+  message.news = ServerNews{before, server_reader_.next_offset(), entries_.UnsettledFor(now),
+                            std::move(changes)};
   if (peers_.Send(message, AllPeers())) return;
   // Too much for a datagram: the others see the gap at the next one and read for themselves.
 }
@@ -237,10 +237,7 @@
 void GatewayNode::OnNews(const ServerNews& news, TimePoint now) {
   news_heard_ = now;
   if (!server_reader_.complete()) return;
-  if (!news.settled) {
-    entries_.OnStoreLost();
-    entries_.OnStoreAnswers(now);
-  }
+  entries_.OnUnsettled(news.unsettled, now);
   server_reader_.OnRelayed(news.from, news.to, news.records);
   changes_.clear();
   forwarder_.Pump();
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -14,7 +14,7 @@
 void EncodeNews(const ServerNews& news, wire::ServerNews* out) {
   out->set_from(news.from.value());
   out->set_to(news.to.value());
-  out->set_settled(news.settled);
+  out->set_unsettled_ms(static_cast<std::uint32_t>(ToMilliseconds(news.unsettled)));
   for (const TopicRecord& record : news.records) {
     wire::ServerNews::Record* added = out->add_records();
     added->set_key(record.key);
@@ -24,7 +24,8 @@
 }
 
 ServerNews DecodeNews(const wire::ServerNews& in) {
-  ServerNews news{Offset(in.from()), Offset(in.to()), in.settled(), {}};
+  ServerNews news{
+      Offset(in.from()), Offset(in.to()), std::chrono::milliseconds(in.unsettled_ms()), {}};
   for (const wire::ServerNews::Record& record : in.records()) {
     std::optional<std::string> value;
     if (!record.removed()) value = record.value();
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -27,8 +27,8 @@
 struct ServerNews {
   Offset from;
   Offset to;
-  /// False while entries that lapsed during an outage of the store may still come back.
-  bool settled = true;
+  /// How much longer entries that lapsed during an outage of the store may come back.
+  Duration unsettled{};
   /// Records between the offsets that change something.
   std::vector<TopicRecord> records;
 };
