--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -23,7 +23,9 @@
 bool FleetView::OnBeat(const HostBeat& beat, TimePoint now) {
   if (beat.record.host == options_.self.host) return false;
   Peer& peer = peers_[beat.record.host];
-  if (peer.heard && beat.start < peer.beat.start) return false;
+  // Start ids are random, so that only a former one can be told from a new one.
+  if (peer.heard && beat.start == peer.former_start) return false;
+  if (peer.heard && beat.start != peer.beat.start) peer.former_start = peer.beat.start;
   peer.beat = beat;
   peer.heard = true;
   peer.last_heard = now;
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -46,7 +46,7 @@
 
   /// Takes a host from the store's list; alive only once it is heard.
   void Register(const HostRecord& record);
-  /// Takes a host's own word; false when it is older than a known start or about this host.
+  /// Takes a host's own word; false when it comes from a former start or is about this host.
   bool OnBeat(const HostBeat& beat, TimePoint now);
   /// This host itself stops or is not ready.
   void SetSelf(bool ready, bool leaving, bool store_answers);
@@ -75,6 +75,8 @@
     HostBeat beat;
     bool heard = false;
     TimePoint last_heard;
+    /// The start before the present one; its late datagrams are ignored.
+    StartId former_start;
   };
   struct Candidate {
     std::uint64_t rank = 0;
--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -33,6 +33,9 @@
   message_ = HttpMessage();
   head_bytes_ = 0;
   in_value_ = false;
+  at_line_start_ = true;
+  past_first_line_ = false;
+  scanned_head_ = false;
   complete_ = false;
   head_complete_ = false;
   started_ = false;
@@ -57,8 +60,25 @@
   return kCallbacks;
 }
 
+bool HttpReader::HasFoldedLine(std::string_view bytes) {
+  for (const char c : bytes) {
+    if (scanned_head_) return false;
+    if (at_line_start_ && past_first_line_) {
+      if (c == ' ' || c == '\t') return true;
+      if (c == '\n') scanned_head_ = true;
+    }
+    if (c == '\n') past_first_line_ = true;
+    at_line_start_ = c == '\n' || (c == '\r' && at_line_start_);
+  }
+  return false;
+}
+
 std::size_t HttpReader::Read(std::string_view bytes) {
   if (complete_ || fault_ != ReadFault::kNone || bytes.empty()) return 0;
+  if (HasFoldedLine(bytes)) {
+    fault_ = ReadFault::kMalformed;
+    return bytes.size();
+  }
   std::size_t used = http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   const auto error = static_cast<http_errno>(parser_.http_errno);
   if (error == HPE_PAUSED && complete_) {
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -60,6 +60,8 @@
   static int OnComplete(http_parser* parser);
   static const http_parser_settings& Callbacks();
 
+  /// Notes a line of the head that begins with a space: it would continue the line before.
+  bool HasFoldedLine(std::string_view bytes);
   int CountHead(std::size_t bytes);
   bool HeadIsClean() const;
 
@@ -69,6 +71,10 @@
   HttpMessage message_;
   std::size_t head_bytes_ = 0;
   bool in_value_ = false;
+  /// Where the scan for folded lines is: at the start of a line, and past the first line.
+  bool at_line_start_ = true;
+  bool past_first_line_ = false;
+  bool scanned_head_ = false;
   bool no_body_ = false;
   bool complete_ = false;
   bool head_complete_ = false;
--- /dev/null
+++ b/tests/gateway/fleet_view_test.cc
@@ -0,0 +1,137 @@
+#include "libgateway/fleet_view.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace mulberry::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+HostRecord Record(int data_centre, int number) {
+  const std::string name = "h" + std::to_string(data_centre) + "-" + std::to_string(number);
+  return {HostName(name), DataCentreName("d" + std::to_string(data_centre)),
+          "10." + std::to_string(data_centre) + ".0." + std::to_string(number) + ":7000"};
+}
+
+std::string CallerAddress(const HostRecord& record) {
+  return record.peer_address.substr(0, record.peer_address.find(':')) + ":80";
+}
+
+HostBeat Beat(const HostRecord& record) {
+  HostBeat beat;
+  beat.record = record;
+  beat.start = StartId(1);
+  beat.caller_address = CallerAddress(record);
+  beat.ready = true;
+  beat.store_answers = true;
+  return beat;
+}
+
+/// Views of 3 data centres with 4 hosts each, all of which hear each other.
+struct Fixture {
+  Fixture() {
+    for (int d = 0; d < 3; ++d) {
+      for (int n = 0; n < 4; ++n) records.push_back(Record(d, n));
+    }
+    for (const HostRecord& record : records) {
+      FleetOptions options;
+      options.self = record;
+      options.self_caller_address = CallerAddress(record);
+      options.deciders = 2;
+      views.emplace_back(options);
+      views.back().SetSelf(true, false, true);
+    }
+    HearAll();
+  }
+
+  void HearAll(const std::set<std::size_t>& dead = {}) {
+    for (std::size_t to = 0; to < views.size(); ++to) {
+      for (std::size_t from = 0; from < views.size(); ++from) {
+        if (from != to && dead.count(from) == 0) views[to].OnBeat(Beat(records[from]), now);
+      }
+    }
+  }
+
+  std::vector<HostRecord> records;
+  std::vector<FleetView> views;
+  TimePoint now = TimePoint(seconds(100));
+};
+
+TEST_CASE_FIXTURE(Fixture, "all hosts name the same two hosts of a data centre") {
+  for (int d = 0; d < 3; ++d) {
+    const DataCentreName name("d" + std::to_string(d));
+    const auto named = views[0].AddressesFor(name, now);
+    CHECK(named.size() == 2);
+    for (const FleetView& view : views) CHECK(view.AddressesFor(name, now) == named);
+  }
+  CHECK(views[0].AddressesFor(DataCentreName("elsewhere"), now).size() == 6);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a silent host is named no longer, and another takes its place") {
+  const DataCentreName name("d1");
+  const auto before = views[0].AddressesFor(name, now);
+  const auto dead = static_cast<std::size_t>(
+      std::find_if(records.begin(), records.end(),
+                   [&](const HostRecord& record) { return CallerAddress(record) == before[0]; }) -
+      records.begin());
+  for (int i = 0; i < 5; ++i) {
+    now += milliseconds(400);
+    HearAll({dead});
+  }
+  const auto after = views[0].AddressesFor(name, now);
+  CHECK(after.size() == 2);
+  CHECK(std::find(after.begin(), after.end(), before[0]) == after.end());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a leaving host is named no longer at once") {
+  const DataCentreName name("d0");
+  for (std::size_t i = 0; i < 4; ++i) {
+    HostBeat beat = Beat(records[i]);
+    beat.leaving = true;
+    views[11].OnBeat(beat, now);
+  }
+  for (const std::string& address : views[11].AddressesFor(name, now)) {
+    CHECK(address.rfind("10.0.", 0) != 0);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "two hosts in two data centres read the store for all") {
+  std::vector<DataCentreName> readers;
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    if (views[i].IsReader(now)) readers.push_back(records[i].data_centre);
+  }
+  REQUIRE(readers.size() == 2);
+  CHECK(readers[0] != readers[1]);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a host that hears nobody reads for itself and names itself") {
+  now += seconds(60);
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    CHECK(views[i].IsReader(now));
+    CHECK(views[i].AddressesFor(records[i].data_centre, now) ==
+          std::vector{CallerAddress(records[i])});
+    CHECK(views[i].PlaceOfSelf(now).count == 1);
+  }
+  // Whatever they believe, two of four are first choices by rank.
+  CHECK(std::count_if(views.begin(), views.begin() + 4,
+                      [](const FleetView& view) { return view.IsFirstChoice(); }) == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a beat of an earlier start does not bring a restarted host's past back") {
+  HostBeat first = Beat(records[1]);
+  first.start = StartId(9);
+  views[0].OnBeat(first, now);
+  HostBeat second = Beat(records[1]);
+  second.start = StartId(4);
+  CHECK(views[0].OnBeat(second, now));
+  CHECK_FALSE(views[0].OnBeat(first, now));
+  CHECK_FALSE(views[0].OnBeat(Beat(records[0]), now));
+}
+
+}  // namespace
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/tests/gateway/http_reader_test.cc
@@ -0,0 +1,89 @@
+#include "libgateway/http_reader.h"
+
+#include <doctest/doctest.h>
+
+namespace mulberry::gateway {
+namespace {
+
+constexpr ReadLimits kLimits{.max_head_bytes = 512, .max_body_bytes = 64};
+
+ReadFault FaultOfRequest(const std::string& bytes) {
+  HttpReader reader(HttpReader::Kind::kRequest, kLimits);
+  reader.Read(bytes);
+  return reader.fault();
+}
+
+TEST_CASE("a request is read byte by byte as in one piece, and what follows is left") {
+  const std::string bytes =
+      "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nX-Id:  7 \r\nContent-Length: 5\r\n\r\nhello";
+  HttpReader reader(HttpReader::Kind::kRequest, kLimits);
+  SUBCASE("one piece") { CHECK(reader.Read(bytes + "GET / HTTP/1.1\r\n") == bytes.size()); }
+  SUBCASE("byte by byte") {
+    for (const char c : bytes) CHECK(reader.Read({&c, 1}) == 1);
+  }
+  REQUIRE(reader.complete());
+  CHECK(reader.message().method == "POST");
+  CHECK(reader.message().target == "/a/b?c=1");
+  CHECK(*FindHeader(reader.message().headers, "x-id") == "7");
+  CHECK(reader.message().body == "hello");
+  CHECK(reader.message().keep_alive);
+}
+
+TEST_CASE("chunks are joined, trailers are dropped") {
+  HttpReader reader(HttpReader::Kind::kRequest, kLimits);
+  reader.Read(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=1\r\nde\r\n"
+      "0\r\nX-Trailer: 1\r\n\r\n");
+  REQUIRE(reader.complete());
+  CHECK(reader.message().body == "abcde");
+  CHECK(FindHeader(reader.message().headers, "x-trailer") == nullptr);
+}
+
+TEST_CASE("what another reader could understand in another way is refused") {
+  CHECK(FaultOfRequest("GET / HTTP/1.1\r\nHost: h\r\nContent-Length : 5\r\n\r\n") ==
+        ReadFault::kMalformed);
+  CHECK(FaultOfRequest("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n folded\r\n\r\n") ==
+        ReadFault::kMalformed);
+  CHECK(FaultOfRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n") == ReadFault::kMalformed);
+  CHECK(FaultOfRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                       "Content-Length: 4\r\n\r\n") == ReadFault::kMalformed);
+  CHECK(FaultOfRequest("GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n") == ReadFault::kMalformed);
+  CHECK(FaultOfRequest("GET / HTTP/1.1\r\nHost: h\r\nX: a\x01z\r\n\r\n") == ReadFault::kMalformed);
+  CHECK(FaultOfRequest("not http at all\r\n\r\n") == ReadFault::kMalformed);
+}
+
+TEST_CASE("too large heads and bodies have faults of their own") {
+  CHECK(FaultOfRequest("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'a') + "\r\n\r\n") ==
+        ReadFault::kHeadTooLarge);
+  CHECK(FaultOfRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n") ==
+        ReadFault::kBodyTooLarge);
+  CHECK(FaultOfRequest("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" +
+                       std::string(65, 'a')) == ReadFault::kBodyTooLarge);
+}
+
+TEST_CASE("an answer without a length ends with its connection, and only in order") {
+  HttpReader reader(HttpReader::Kind::kAnswer, kLimits);
+  reader.Read("HTTP/1.1 200 OK\r\nX: 1\r\n\r\npart");
+  CHECK_FALSE(reader.complete());
+  reader.ReadEnd();
+  CHECK(reader.complete());
+  CHECK(reader.message().ends_with_connection);
+  CHECK(reader.message().body == "part");
+
+  HttpReader cut(HttpReader::Kind::kAnswer, kLimits);
+  cut.Read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+  cut.ReadEnd();
+  CHECK_FALSE(cut.complete());
+  CHECK(cut.fault() == ReadFault::kMalformed);
+}
+
+TEST_CASE("the answer to HEAD has no body whatever its length says") {
+  HttpReader reader(HttpReader::Kind::kAnswer, kLimits);
+  reader.ExpectNoBody(true);
+  reader.Read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  CHECK(reader.complete());
+}
+
+}  // namespace
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/tests/gateway/retry_window_test.cc
@@ -0,0 +1,61 @@
+#include "libgateway/retry_window.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+
+namespace mulberry::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr RetryLimits kLimits{.ratio = 0.2, .window = std::chrono::seconds(10), .slack = 50};
+
+TEST_CASE("in no span of the window do all hosts together exceed ratio and slack") {
+  constexpr int kHosts = 10;
+  std::vector<RetryWindow> hosts(kHosts, RetryWindow(kLimits));
+  for (RetryWindow& host : hosts) host.SetSlackPart(1.0 / kHosts);
+  std::mt19937 random(1);
+  std::deque<TimePoint> requests;
+  std::deque<TimePoint> extra;
+  TimePoint now;
+  std::size_t taken = 0;
+  for (int step = 0; step < 60'000; ++step) {
+    now += milliseconds(1);
+    // The load stops and starts, so that a window without requests follows a busy one.
+    const bool busy = step / 8000 % 2 == 0;
+    RetryWindow& host = hosts[random() % kHosts];
+    if (busy && random() % 4 == 0) {
+      host.OnRequest(now);
+      requests.push_back(now);
+    }
+    if (random() % 2 == 0 && host.Take(random() % 2 == 0, now)) {
+      extra.push_back(now);
+      ++taken;
+    }
+    while (!requests.empty() && requests.front() <= now - kLimits.window) requests.pop_front();
+    while (!extra.empty() && extra.front() <= now - kLimits.window) extra.pop_front();
+    REQUIRE(static_cast<double>(extra.size()) <=
+            kLimits.ratio * static_cast<double>(requests.size()) + kLimits.slack);
+  }
+  CHECK(taken > 500);
+}
+
+TEST_CASE("hedges leave room for attempts after a failure") {
+  RetryWindow window(kLimits);
+  TimePoint now;
+  for (int i = 0; i < 100; ++i) window.OnRequest(now);
+  int hedges = 0;
+  while (window.Take(true, now)) ++hedges;
+  CHECK(hedges > 0);
+  CHECK(window.Take(false, now));
+}
+
+TEST_CASE("a host without requests and without a part of the slack makes no further attempts") {
+  RetryWindow window(kLimits);
+  CHECK_FALSE(window.Take(false, TimePoint()));
+}
+
+}  // namespace
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/tests/gateway/route_table_test.cc
@@ -0,0 +1,80 @@
+#include "libgateway/route_table.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "libgateway/config_keeper.h"
+
+namespace mulberry::gateway {
+namespace {
+
+Route MakeRoute(const std::string& name, const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.timeout = std::chrono::seconds(1);
+  route.max_attempts = 2;
+  route.shares = {{ServiceName("a"), 1}};
+  return route;
+}
+
+Config MakeConfig(std::uint64_t version, std::vector<Route> routes) {
+  Config config;
+  config.version = ConfigVersion(version);
+  config.routes = std::move(routes);
+  config.services[ServiceName("a")] = {};
+  config.services[ServiceName("b")] = {};
+  return config;
+}
+
+TEST_CASE("the longest prefix of the host's routes is taken") {
+  const RouteTable table({MakeRoute("short", "h.example", "/x/"),
+                          MakeRoute("long", "h.example", "/x/y/"),
+                          MakeRoute("other", "g.example", "/x/y/z/")});
+  CHECK(table.Find("h.example", "/x/1")->name == "short");
+  CHECK(table.Find("h.example", "/x/y/z/1")->name == "long");
+  CHECK(table.Find("H.Example:8080", "/x/1")->name == "short");
+  CHECK(table.Find("h.example", "/x") == nullptr);
+  CHECK(table.Find("h.example", "/xy/1") == nullptr);
+  CHECK(table.Find("f.example", "/x/1") == nullptr);
+}
+
+TEST_CASE("shares hold over any short span of requests") {
+  Route route = MakeRoute("split", "h.example", "/x/");
+  route.shares = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+  ShareDealer dealer;
+  for (int span = 0; span < 20; ++span) {
+    std::map<ServiceName, int> dealt;
+    for (int i = 0; i < 10; ++i) ++dealt[dealer.Next(route)];
+    CHECK(dealt[ServiceName("a")] == 9);
+    CHECK(dealt[ServiceName("b")] == 1);
+  }
+  route.shares = {{ServiceName("a"), 0}, {ServiceName("b"), 5}};
+  CHECK(dealer.Next(route) == ServiceName("b"));
+}
+
+TEST_CASE("a configuration's version never goes back and an unusable one changes nothing") {
+  ConfigKeeper keeper;
+  CHECK_FALSE(keeper.ready());
+  CHECK(keeper.Offer(MakeConfig(7, {MakeRoute("r", "h.example", "/x/")})).value());
+  CHECK_FALSE(keeper.Offer(MakeConfig(6, {})).value());
+  CHECK_FALSE(keeper.Offer(MakeConfig(7, {})).value());
+  CHECK(keeper.routes().Find("h.example", "/x/1") != nullptr);
+
+  Route unknown = MakeRoute("r", "h.example", "/x/");
+  unknown.shares = {{ServiceName("nobody"), 1}};
+  Route bare = MakeRoute("r", "h.example", "/x");
+  Route no_attempts = MakeRoute("r", "h.example", "/x/");
+  no_attempts.max_attempts = 0;
+  Route no_weight = MakeRoute("r", "h.example", "/x/");
+  no_weight.shares = {{ServiceName("a"), 0}};
+  for (const Route& route : {unknown, bare, no_attempts, no_weight}) {
+    CHECK_FALSE(keeper.Offer(MakeConfig(9, {route})).has_value());
+    CHECK(keeper.version() == ConfigVersion(7));
+  }
+}
+
+}  // namespace
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/tests/gateway/server_pool_test.cc
@@ -0,0 +1,158 @@
+#include "libgateway/server_pool.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace mulberry::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kService("search");
+const DataCentreName kHere("here");
+const DataCentreName kThere("there");
+
+ServerEntry Entry(const std::string& id, const DataCentreName& data_centre = kHere) {
+  ServerEntry entry;
+  entry.id = ServerName(id);
+  entry.service = kService;
+  entry.address = "127.0.0.1:80";
+  entry.data_centre = data_centre;
+  entry.slots = 4;
+  entry.born_ms = 1;
+  return entry;
+}
+
+/// A pool with one service that bears 10 requests a second while cold, for 3 s.
+struct Fixture {
+  Fixture() : pool({.data_centre = kHere, .cold_overage = 1.5, .cold_slack = 5}) {
+    pool.SetServices(
+        {{kService,
+          {.name = kService, .health_path = "/health", .cold_time = seconds(3), .cold_rate = 10}}});
+    pool.SetColdShare(0.4);
+  }
+
+  std::optional<ServerName> Chosen(const std::set<ServerName>& tried = {}) {
+    const auto choice = pool.Choose(kService, tried, now);
+    const auto* chosen = std::get_if<Choice>(&choice);
+    return chosen == nullptr ? std::nullopt : std::optional(chosen->id);
+  }
+
+  /// Sends as many requests as are allowed in one second, each answered at once.
+  std::map<ServerName, int> SendForOneSecond() {
+    std::map<ServerName, int> sent;
+    for (int i = 0; i < 500; ++i) {
+      now += milliseconds(2);
+      const auto id = Chosen();
+      if (!id) continue;
+      ++sent[*id];
+      pool.OnSent(*id, now);
+      pool.OnEnd(*id, AttemptEnd::kAnswered, now, now);
+    }
+    return sent;
+  }
+
+  ServerPool pool;
+  TimePoint now = TimePoint(seconds(100));
+};
+
+TEST_CASE_FIXTURE(Fixture, "work goes to the server that reports a fast machine") {
+  pool.Put(Entry("slow"), now);
+  pool.Put(Entry("fast"), now);
+  pool.OnReport(ServerName("slow"), {.running = 0, .slots = 4, .slowness = 5}, now);
+  pool.OnReport(ServerName("fast"), {.running = 1, .slots = 4, .slowness = 1}, now);
+  for (int i = 0; i < 20; ++i) CHECK(Chosen() == ServerName("fast"));
+  CHECK(Chosen({ServerName("fast")}) == ServerName("slow"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a full server is left alone, and when all are full the call waits") {
+  pool.Put(Entry("a"), now);
+  pool.Put(Entry("b"), now);
+  pool.OnReport(ServerName("a"), {.running = 4, .waiting = 2, .slots = 4}, now);
+  CHECK(Chosen() == ServerName("b"));
+  pool.OnReport(ServerName("b"), {.running = 4, .waiting = 2, .slots = 4}, now);
+  CHECK(std::get<NoChoice>(pool.Choose(kService, {}, now)) == NoChoice::kAllBusy);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the own data centre is preferred unless its servers are busy") {
+  pool.Put(Entry("near"), now);
+  pool.Put(Entry("far", kThere), now);
+  CHECK(Chosen() == ServerName("near"));
+  pool.OnReport(ServerName("near"), {.running = 4, .waiting = 2, .slots = 4}, now);
+  CHECK(Chosen() == ServerName("far"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a leaving server and a data centre that is out get nothing") {
+  pool.Put(Entry("a"), now);
+  pool.Put(Entry("b", kThere), now);
+  ServerEntry leaving = Entry("a");
+  leaving.leaving = true;
+  CHECK(pool.Put(leaving, now));
+  CHECK(Chosen() == ServerName("b"));
+  pool.SetOut(kThere, true, now);
+  CHECK(std::get<NoChoice>(pool.Choose(kService, {}, now)) == NoChoice::kNoServer);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a cold server gets this host's share of what it bears and no more") {
+  ServerEntry cold = Entry("cold");
+  cold.cold_left = seconds(3);
+  pool.Put(cold, now);
+  // 40 % of 10 * 1.5 + 5 requests.
+  CHECK(SendForOneSecond()[ServerName("cold")] <= 8);
+  now += seconds(4);
+  CHECK(SendForOneSecond()[ServerName("cold")] > 100);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a cold server of another data centre gets nothing") {
+  ServerEntry cold = Entry("cold", kThere);
+  cold.cold_left = seconds(3);
+  pool.Put(cold, now);
+  CHECK(SendForOneSecond().empty());
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a server is cold after a restart under its id, after its data centre's "
+                  "return, and when it comes back from an outage") {
+  pool.Put(Entry("a"), now);
+  const ServerName id("a");
+  CHECK(pool.Describe(id, now) == "warm");
+  SUBCASE("another start") {
+    ServerEntry restarted = Entry("a");
+    restarted.born_ms = 2;
+    pool.Put(restarted, now);
+  }
+  SUBCASE("data centre back") {
+    pool.SetOut(kHere, true, now);
+    pool.SetOut(kHere, false, now);
+  }
+  SUBCASE("unreachable, then answering") {
+    pool.OnSent(id, now);
+    pool.OnEnd(id, AttemptEnd::kConnectFailed, now, now);
+    pool.OnSent(id, now);
+    pool.OnEnd(id, AttemptEnd::kAnswered, now, now);
+  }
+  SUBCASE("its own word") { pool.OnColdLeft(id, seconds(2), now); }
+  CHECK(pool.Describe(id, now) == "cold");
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "checks are due for servers whose load is old, and each has one sender") {
+  for (int i = 0; i < 20; ++i) pool.Put(Entry("s" + std::to_string(i)), now);
+  pool.Put(Entry("far", kThere), now);
+  const ProbeShare first{.index = 0, .count = 2, .max_age = milliseconds(60)};
+  const ProbeShare second{.index = 1, .count = 2, .max_age = milliseconds(60)};
+  CHECK(pool.DueProbes(first, now).empty());
+  (void)Chosen();
+  const auto of_first = pool.DueProbes(first, now);
+  const auto of_second = pool.DueProbes(second, now);
+  CHECK(of_first.size() + of_second.size() == 20);
+  const ServerName fresh = of_first.front().id;
+  pool.OnReport(fresh, {.slots = 4}, now);
+  CHECK(pool.DueProbes(first, now).size() + 1 == of_first.size());
+  CHECK(pool.DueProbes({}, now).empty());
+}
+
+}  // namespace
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/tests/gateway/topic_follower_test.cc
@@ -0,0 +1,73 @@
+#include "libgateway/topic_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace mulberry::gateway {
+namespace {
+
+TopicRecord Put(const std::string& key, const std::string& value) { return {key, value}; }
+TopicRecord Removed(const std::string& key) { return {key, std::nullopt}; }
+
+/// Keeps what the follower reports, as a reader of it would.
+struct Fixture {
+  Fixture()
+      : follower({.interval = std::chrono::milliseconds(700)}, [this](const TopicRecord& record) {
+          if (record.value) {
+            state[record.key] = *record.value;
+          } else {
+            state.erase(record.key);
+          }
+        }) {}
+
+  std::map<std::string, std::string> state;
+  TopicFollower follower;
+};
+
+TEST_CASE_FIXTURE(Fixture, "newest records first, page by page, then what was written meanwhile") {
+  CHECK(std::get<FollowNewest>(follower.Next()).after.empty());
+  follower.OnNewest({{Put("a", "1")}, true, Offset(5)});
+  CHECK(std::get<FollowNewest>(follower.Next()).after == "a");
+  CHECK_FALSE(follower.complete());
+  follower.OnNewest({{Put("b", "1")}, false, Offset(9)});
+  CHECK(follower.complete());
+  CHECK(std::get<FollowRecords>(follower.Next()).from == Offset(5));
+  follower.OnRecords({{Put("a", "2"), Removed("b")}, Offset(7)});
+  CHECK(state == std::map<std::string, std::string>{{"a", "2"}});
+  CHECK(std::holds_alternative<FollowPause>(follower.Next()));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a key that is missing after a gap counts as removed") {
+  follower.OnNewest({{Put("a", "1"), Put("b", "1")}, false, Offset(2)});
+  follower.OnRecords({{Put("c", "1")}, Offset(3)});
+  follower.OnExpired();
+  CHECK(std::holds_alternative<FollowPause>(follower.Next()));
+  follower.OnPauseOver();
+  CHECK(std::holds_alternative<FollowNewest>(follower.Next()));
+  follower.OnNewest({{Put("b", "2")}, false, Offset(40)});
+  CHECK(state == std::map<std::string, std::string>{{"b", "2"}});
+  CHECK(std::get<FollowRecords>(follower.Next()).from == Offset(40));
+}
+
+TEST_CASE_FIXTURE(Fixture, "relayed records are taken when nothing before them is missing") {
+  follower.OnNewest({{}, false, Offset(5)});
+  CHECK(follower.OnRelayed(Offset(5), Offset(8), {Put("a", "1")}));
+  CHECK(follower.next_offset() == Offset(8));
+  CHECK(follower.OnRelayed(Offset(6), Offset(8), {Put("a", "old")}));
+  CHECK(state["a"] == "1");
+  CHECK_FALSE(follower.OnRelayed(Offset(9), Offset(12), {Put("a", "3")}));
+  CHECK(follower.next_offset() == Offset(8));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a failed read is repeated after a pause that differs between hosts") {
+  follower.OnFailed(0);
+  const Duration least = std::get<FollowPause>(follower.Next()).wait;
+  follower.OnFailed(1);
+  const Duration most = std::get<FollowPause>(follower.Next()).wait;
+  CHECK(least > Duration::zero());
+  CHECK(most > least);
+}
+
+}  // namespace
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/tests/platform/adapter_test.cc
@@ -0,0 +1,162 @@
+#include <doctest/doctest.h>
+
+#include "platform/log_format.h"
+#include "platform/platform.h"
+
+namespace mulberry::platform {
+namespace {
+
+using gateway::Topic;
+
+std::string BigEndian(std::uint64_t number, int bytes) {
+  std::string out;
+  for (int i = bytes - 1; i >= 0; --i) out += static_cast<char>(number >> (8 * i) & 0xffU);
+  return out;
+}
+
+constexpr char kConfig[] = R"({"Version":"r12","Resources":[
+  {"ResourceType":"Routes","Metadata":{"Name":"one"},"Spec":{"Host":"h.example","PathPrefix":"/a/",
+   "RouteType":"unsafe","TimeoutMs":1000,"TargetLatencyMs":250,"Priority":1,"Service":"s","Attempts":2}},
+  {"ResourceType":"Routes","Metadata":{"Name":"two"},"Spec":{"Host":"h.example","PathPrefix":"/b/",
+   "RouteType":"safe","TimeoutMs":800,"TargetLatencyMs":200,"Priority":2,
+   "TrafficSplit":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}],"Attempts":3}},
+  {"ResourceType":"Services","Metadata":{"Name":"s"},"Spec":{"HealthPath":"/health",
+   "MaxConnections":220,"Protocol":"h1","Tls":false,"WarmupS":3.5,"WarmupPerS":15.0}},
+  {"ResourceType":"Later","Metadata":{"Name":"unknown"},"Spec":{}},
+  {"ResourceType":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":100,"MaxBodyBytes":200,
+   "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]})";
+
+constexpr char kServer[] = R"({"Service":"s","Address":"10.0.0.9:8080","Zone":"z","Version":"v1",
+  "Slots":4,"State":"ready","WarmupLeftMs":1500,"Seq":4,"born":1700000000123})";
+
+TEST_CASE("a configuration is decoded into the project's words") {
+  const auto adapter = MakeAdapter();
+  const auto fact = adapter->ParseOperatorRecord({"config", kConfig});
+  REQUIRE(fact);
+  const auto& config = std::get<gateway::ConfigFact>(fact.value()).config;
+  CHECK(config.version.value() == 12);
+  REQUIRE(config.routes.size() == 2);
+  CHECK_FALSE(config.routes[0].idempotent);
+  CHECK(config.routes[0].timeout == std::chrono::seconds(1));
+  CHECK(config.routes[0].urgency == 1);
+  CHECK(config.routes[1].idempotent);
+  CHECK(config.routes[1].shares.size() == 2);
+  CHECK(config.routes[1].shares[1].weight == 10);
+  const auto& service = config.services.at(ServiceName("s"));
+  CHECK(service.cold_time == std::chrono::milliseconds(3500));
+  CHECK(service.cold_rate == 15);
+  CHECK(config.limits.max_head_bytes == 100);
+  CHECK(config.limits.idle_timeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("a configuration that is cut short or lacks a field is refused with the field") {
+  const auto adapter = MakeAdapter();
+  const std::string text = kConfig;
+  for (std::size_t length = 0; length < text.size(); length += 7) {
+    CHECK_FALSE(adapter->ParseOperatorRecord({"config", text.substr(0, length)}).has_value());
+  }
+  std::string lacks = text;
+  lacks.replace(lacks.find("\"Attempts\""), 10, "\"attempts\"");
+  const auto fact = adapter->ParseOperatorRecord({"config", lacks});
+  REQUIRE_FALSE(fact.has_value());
+  CHECK(fact.error().message.find("Attempts") != std::string::npos);
+}
+
+TEST_CASE("a data centre is out while its record is there") {
+  const auto adapter = MakeAdapter();
+  const auto out = adapter->ParseOperatorRecord({"evacuate/z", "{}"});
+  CHECK(std::get<gateway::DataCentreOutFact>(out.value()).out);
+  const auto back = adapter->ParseOperatorRecord({"evacuate/z", std::nullopt});
+  CHECK_FALSE(std::get<gateway::DataCentreOutFact>(back.value()).out);
+  CHECK(std::get<gateway::DataCentreOutFact>(back.value()).data_centre == DataCentreName("z"));
+  CHECK(std::holds_alternative<gateway::UnknownFact>(
+      adapter->ParseOperatorRecord({"else", "1"}).value()));
+}
+
+TEST_CASE("a server's entry names its start and how long it stays cold") {
+  const auto entry = MakeAdapter()->ParseServer({"i-1", kServer});
+  REQUIRE(entry);
+  CHECK(entry.value().id == ServerName("i-1"));
+  CHECK(entry.value().slots == 4);
+  CHECK(entry.value().cold_left == std::chrono::milliseconds(1500));
+  CHECK(entry.value().born_ms == 1700000000123);
+  CHECK_FALSE(entry.value().leaving);
+}
+
+TEST_CASE("an entry of another writer names no server") {
+  const auto adapter = MakeAdapter();
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = kServer;
+    text.replace(text.find(from), from.size(), to);
+    return adapter->ParseServer({"i-1", text}).has_value();
+  };
+  CHECK_FALSE(with("\"ready\"", "\"resting\""));
+  CHECK_FALSE(with("\"Slots\":4", "\"Slots\":\"4\""));
+  CHECK_FALSE(with("\"Slots\":4", "\"Slots\":0"));
+  CHECK_FALSE(with("\"Address\"", "\"address\""));
+  CHECK_FALSE(with("\"Service\":\"s\"", "\"Service\":null"));
+  CHECK_FALSE(adapter->ParseServer({"i-1", "\x01\xff"}).has_value());
+  CHECK_FALSE(adapter->ParseServer({"i-1", "[]"}).has_value());
+}
+
+TEST_CASE("records of a read are decoded, and a removed key has no value") {
+  const std::string body = BigEndian(9, 8) + BigEndian(2, 8) + EncodeRecord("a", "12") +
+                           EncodeRecord("b", "") + EncodeRecord("c", std::string(1, '\0'));
+  const auto page = DecodeRecords(body, Offset(5));
+  REQUIRE(page);
+  CHECK(page.value().next == Offset(8));
+  REQUIRE(page.value().records.size() == 3);
+  CHECK(page.value().records[0].value == "12");
+  CHECK_FALSE(page.value().records[1].value.has_value());
+  CHECK(page.value().records[2].value->size() == 1);
+  for (std::size_t length = 1; length < body.size(); ++length) {
+    const auto cut = DecodeRecords(std::string_view(body).substr(0, length), Offset(5));
+    if (cut.has_value()) CHECK(cut.value().records.size() < 3);
+  }
+}
+
+TEST_CASE("the newest records are decoded with the offset to read on from") {
+  const auto page = DecodeNewest(
+      R"({"items":[{"Key":"a","Value":"MTI=","Offset":4},{"Key":"b","Value":"!","Offset":5}],"More":true,"End":6})");
+  REQUIRE(page);
+  CHECK(page.value().end == Offset(6));
+  CHECK(page.value().more);
+  REQUIRE(page.value().records.size() == 1);
+  CHECK(page.value().records[0].value == "12");
+  CHECK_FALSE(DecodeNewest("{\"items\":[]}").has_value());
+  CHECK_FALSE(DecodeNewest("").has_value());
+}
+
+TEST_CASE("a load report of three or four figures") {
+  const auto adapter = MakeAdapter();
+  CHECK(adapter->ParseLoad("3,1,8")->waiting == 1);
+  CHECK(adapter->ParseLoad("3,1,8")->slowness == 1);
+  CHECK(adapter->ParseLoad("3,1,8,250")->slowness == 2.5);
+  for (const char* text : {"", "3", "3,1", "3,1,x", "3,1,8,", "-1,0,4"}) {
+    CHECK_FALSE(adapter->ParseLoad(text).has_value());
+  }
+  const auto health = adapter->ParseHealth(
+      503, {{"X-Instance-Id", "i-1"}, {"X-Warmup-Ms", "700"}, {"X-Backend-Load", "1,0,4,500"}});
+  CHECK_FALSE(health.healthy);
+  CHECK(health.id == ServerName("i-1"));
+  CHECK(health.cold_left == std::chrono::milliseconds(700));
+  CHECK(health.load->slowness == 5);
+}
+
+TEST_CASE("questions of the platform and answers to them") {
+  const auto adapter = MakeAdapter();
+  CHECK(adapter->IsReadyQuestion("/readiness"));
+  CHECK_FALSE(adapter->IsReadyQuestion("/other"));
+  const auto question = adapter->ParseAddressQuestion("/resolve?Name=h.example&Region=r&Zone=z-1");
+  REQUIRE(question);
+  CHECK(question->host == "h.example");
+  CHECK(question->data_centre == DataCentreName("z-1"));
+  CHECK_FALSE(adapter->ParseAddressQuestion("/else").has_value());
+  CHECK(adapter->WriteAddresses({"10.0.0.1:80"}, std::chrono::seconds(2)) ==
+        R"({"Addresses":["10.0.0.1:80"],"TtlS":2})");
+  const auto call = adapter->ReadNewest(Topic::kServers, "a b");
+  CHECK(call.target == "/log-newest?Topic=keyed.servers&part=0&after=a%20b");
+}
+
+}  // namespace
+}  // namespace mulberry::platform
