Limit at the knee, queue at the gateway, admission by expected wait; load shared between data centres

Change: a server gets what it bears below its knee; the rest waits here by urgency, and what would miss its target is refused at arrival with the time after which the queue has drained; hosts tell each other their requests in flight; callers of a data centre that is out are named hosts elsewhere.

--- /dev/null
+++ b/src/libgateway/admission.cc
@@ -0,0 +1,60 @@
+#include "libgateway/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberry::gateway {
+namespace {
+
+/// The rate of dispatches is taken over this time.
+constexpr Duration kRateWindow = std::chrono::milliseconds(500);
+/// Part of the time between target and deadline that a request may be expected to miss its target
+/// by, since estimates are rough and a late answer is better than none.
+constexpr double kLatePart = 0.2;
+/// Part of a usual answer time that must be left.
+constexpr double kServicePart = 0.8;
+/// Bounds of what callers are told to wait.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(20);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(2);
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(std::llround(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+void DispatchRate::OnDispatch(TimePoint now) {
+  dispatches_.push_back(now);
+  while (dispatches_.front() < now - kRateWindow) dispatches_.pop_front();
+}
+
+double DispatchRate::PerSecond(double least, TimePoint now) const {
+  const auto recent = std::count_if(dispatches_.begin(), dispatches_.end(),
+                                    [&](TimePoint at) { return at >= now - kRateWindow; });
+  const double window = std::chrono::duration<double>(kRateWindow).count();
+  return std::max(least, static_cast<double>(recent) / window);
+}
+
+Duration ExpectedWait(const WaitQuestion& question) {
+  const double rate = std::max(question.rate, 1e-3);
+  const auto wait = std::chrono::duration<double>((static_cast<double>(question.ahead) + 1) / rate);
+  return std::chrono::duration_cast<Duration>(wait);
+}
+
+bool IsWorthWaiting(const WaitQuestion& question, TimePoint now) {
+  return now + ExpectedWait(question) <= WaitLimit(question);
+}
+
+TimePoint WaitLimit(const WaitQuestion& question) {
+  const Duration late =
+      question.deadline > question.due ? question.deadline - question.due : Duration::zero();
+  return std::min(question.deadline, question.due + Scale(late, kLatePart)) -
+         Scale(question.service_time, kServicePart);
+}
+
+Duration RetryAfter(const WaitQuestion& question, double random) {
+  const Duration wait = Scale(ExpectedWait(question), 0.5 + random);
+  return std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
+}
+
+}  // namespace mulberry::gateway
--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -54,14 +54,19 @@
 
 std::vector<std::string> FleetView::AddressesFor(const DataCentreName& data_centre,
                                                  TimePoint now) const {
-  std::vector<Candidate> chosen = DecidersOf(data_centre, now);
+  std::vector<Candidate> own = DecidersOf(data_centre, now);
+  std::vector<Candidate> chosen;
+  if (out_.count(data_centre) == 0) chosen = own;
   if (chosen.empty()) {
     std::set<DataCentreName> names;
-    for (const Candidate& candidate : Live(now)) names.insert(candidate.data_centre);
+    for (const Candidate& candidate : Live(now)) {
+      if (out_.count(candidate.data_centre) == 0) names.insert(candidate.data_centre);
+    }
     for (const DataCentreName& name : names) {
       for (Candidate& candidate : DecidersOf(name, now)) chosen.push_back(std::move(candidate));
     }
   }
+  if (chosen.empty()) chosen = std::move(own);
   std::vector<std::string> addresses;
   addresses.reserve(chosen.size());
   for (Candidate& candidate : chosen) addresses.push_back(std::move(candidate.caller_address));
@@ -85,6 +90,27 @@
   return addresses;
 }
 
+std::vector<std::string> FleetView::RemoteDeciders(TimePoint now) const {
+  std::set<DataCentreName> names;
+  for (const Candidate& candidate : Live(now)) names.insert(candidate.data_centre);
+  names.erase(options_.self.data_centre);
+  std::vector<std::string> addresses;
+  for (const DataCentreName& name : names) {
+    for (Candidate& decider : DecidersOf(name, now)) {
+      addresses.push_back(std::move(decider.peer_address));
+    }
+  }
+  return addresses;
+}
+
+void FleetView::SetOut(const DataCentreName& data_centre, bool out) {
+  if (out) {
+    out_.insert(data_centre);
+  } else {
+    out_.erase(data_centre);
+  }
+}
+
 bool FleetView::IsReader(TimePoint now) const {
   std::vector<Candidate> able = Live(now);
   std::erase_if(able, [](const Candidate& candidate) { return !candidate.store_answers; });
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,11 @@
   DeciderPlace PlaceOfSelf(TimePoint now) const;
   /// The other hosts that are named there, for sharing what is known of servers.
   std::vector<std::string> OtherDeciders(TimePoint now) const;
+  /// The hosts that are named in the other data centres.
+  std::vector<std::string> RemoteDeciders(TimePoint now) const;
+  /// A data centre whose servers get nothing: its callers are better served by hosts elsewhere,
+  /// which know the load there. Callers are named its own hosts when all data centres are out.
+  void SetOut(const DataCentreName& data_centre, bool out);
   /// True when this host reads the store for all: it is one of the first two live hosts in rank
   /// that the store answers, in two data centres where there are.
   bool IsReader(TimePoint now) const;
@@ -96,6 +102,7 @@
   bool ready_ = false;
   bool leaving_ = false;
   bool store_answers_ = false;
+  std::set<DataCentreName> out_;
   std::map<HostName, Peer> peers_;
 };
 
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -23,9 +23,6 @@
 constexpr double kLeastTimePart = 0.4;
 /// Before a service has answered, this is taken as its answer time.
 constexpr Duration kUnknownServiceTime = std::chrono::milliseconds(50);
-/// Bounds of what callers are told to wait.
-constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(20);
-constexpr Duration kMostRetryAfter = std::chrono::seconds(2);
 constexpr std::size_t kMostAnswerBytes = 64 * 1024 * 1024;
 /// A further send for a slow answer waits for this multiple of the usual answer time at least.
 constexpr double kHedgeAfter = 1.4;
@@ -151,11 +148,11 @@
   if (now + least > call.deadline) {
     if (!hedge) {
       FailCall(call, FailureStatus(call.state.may_have_run, true), "too_late",
-               RetryAfter(call.service), now);
+               RetryAfterFor(call, now), now);
     }
     return;
   }
-  const auto choice = parts_.pool.Choose(call.service, call.tried, now);
+  const auto choice = parts_.pool.Choose(call.service, call.tried, hedge, now);
   if (const auto* chosen = std::get_if<Choice>(&choice)) {
     if (hedge && !retry_windows_.at(call.service).Take(true, now)) return;
     Dequeue(call);
@@ -171,11 +168,16 @@
   const std::size_t slots = parts_.pool.SlotsOf(call.service);
   if (reason == NoChoice::kNoServer || slots == 0) {
     FailCall(call, FailureStatus(call.state.may_have_run, false), call.last_reason,
-             RetryAfter(call.service), now);
+             RetryAfterFor(call, now), now);
     return;
   }
   Waiting& waiting = waiting_[call.service];
   if (!call.queued) {
+    if (!IsWorthWaiting(QuestionOf(call, now), now)) {
+      FailCall(call, FailureStatus(call.state.may_have_run, false), "queue_too_long",
+               RetryAfterFor(call, now), now);
+      return;
+    }
     call.queued = true;
     waiting.emplace(call.route->urgency, call.arrived + call.route->latency_target, call.id);
   }
@@ -217,7 +219,7 @@
              {{"server", choice.id.str()}, {"error", link.error().message}});
     call.tried.insert(choice.id);
     FailCall(call, FailureStatus(call.state.may_have_run, false), "no_server",
-             RetryAfter(call.service), now);
+             RetryAfterFor(call, now), now);
     return;
   }
   Attempt attempt{AttemptId(next_attempt_++), choice.id, choice.address, now, link.value()};
@@ -225,6 +227,7 @@
   ++call.state.running;
   call.tried.insert(choice.id);
   parts_.pool.OnSent(choice.id, now);
+  rates_[call.service].OnDispatch(now);
   LinkRequest request;
   request.bytes = RequestBytes(call, choice, now);
   request.is_head = call.request.method == "HEAD";
@@ -366,11 +369,11 @@
         return;
       }
       FailCall(call, FailureStatus(call.state.may_have_run, false), "retry_budget_spent",
-               RetryAfter(call.service), now);
+               RetryAfterFor(call, now), now);
       return;
     case NextStep::kFail:
       FailCall(call, FailureStatus(call.state.may_have_run, false), AttemptEndName(end),
-               RetryAfter(call.service), now);
+               RetryAfterFor(call, now), now);
       return;
   }
 }
@@ -475,15 +478,28 @@
   calls_.erase(found);
 }
 
-/// Time after which the queue of a service will have drained, as far as it can be told.
-Duration Forwarder::RetryAfter(const ServiceName& service) const {
-  const Duration usual = parts_.pool.ServiceTime(service, kUnknownServiceTime);
-  const auto waiting = waiting_.find(service);
-  const std::size_t queued = waiting == waiting_.end() ? 0 : waiting->second.size();
-  const std::size_t slots = std::max<std::size_t>(1, parts_.pool.SlotsOf(service));
-  const Duration wait =
-      usual * static_cast<std::int64_t>(queued + slots) / static_cast<std::int64_t>(slots);
-  return std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
+/// What a call waits behind: calls of the same service that are as urgent and came before, or more
+/// urgent.
+WaitQuestion Forwarder::QuestionOf(const Call& call, TimePoint now) const {
+  WaitQuestion question;
+  question.due = call.arrived + call.route->latency_target;
+  question.deadline = call.deadline;
+  question.service_time = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
+  const double least =
+      1 / std::max(1e-3, std::chrono::duration<double>(question.service_time).count());
+  const auto rate = rates_.find(call.service);
+  question.rate = rate == rates_.end() ? least : rate->second.PerSecond(least, now);
+  const auto waiting = waiting_.find(call.service);
+  if (waiting == waiting_.end()) return question;
+  for (const auto& [urgency, due, id] : waiting->second) {
+    if (std::tie(urgency, due) > std::tie(call.route->urgency, question.due)) break;
+    if (id != call.id) ++question.ahead;
+  }
+  return question;
+}
+
+Duration Forwarder::RetryAfterFor(const Call& call, TimePoint now) {
+  return RetryAfter(QuestionOf(call, now), std::uniform_real_distribution<double>(0, 1)(random_));
 }
 
 Forwarder::Call* Forwarder::Find(CallId id) {
@@ -496,10 +512,7 @@
   if (call.answered) due = call.deadline + kLateAttempts;
   if (!call.answered && call.running.empty()) due = call.deadline;
   if (call.queued) {
-    // It is refused as soon as there is too little time left to serve it.
-    const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
-    due = std::min(due, call.deadline - Duration(static_cast<std::int64_t>(
-                                            static_cast<double>(usual.count()) * kLeastTimePart)));
+    due = std::min(due, WaitLimit(QuestionOf(call, MonotonicClock::now())));
   }
   due = std::min(due, call.hedge_at);
   if (due == call.timer) return;
@@ -552,7 +565,7 @@
   }
   if (call.running.empty()) {
     FailCall(call, FailureStatus(call.state.may_have_run, true), "queue_time_over",
-             RetryAfter(call.service), now);
+             RetryAfterFor(call, now), now);
   } else {
     FailCall(call, FailureStatus(true, true), "no_answer_in_time", Duration::zero(), now);
   }
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -12,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libgateway/admission.h"
 #include "libgateway/attempt_rules.h"
 #include "libgateway/caller_session.h"
 #include "libgateway/config_keeper.h"
@@ -105,7 +107,8 @@
               std::string_view request_id);
   void CancelAttempts(Call& call, TimePoint now);
   void DropIfDone(CallId id);
-  Duration RetryAfter(const ServiceName& service) const;
+  WaitQuestion QuestionOf(const Call& call, TimePoint now) const;
+  Duration RetryAfterFor(const Call& call, TimePoint now);
 
   void SetTimer(Call& call);
   void ArmTimer();
@@ -121,6 +124,8 @@
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   std::unordered_map<ExchangeId, CallId> by_exchange_;
   std::map<ServiceName, Waiting> waiting_;
+  std::map<ServiceName, DispatchRate> rates_;
+  std::minstd_rand random_{std::random_device{}()};
   std::set<std::pair<TimePoint, CallId>> timers_;
   asio::steady_timer timer_;
   TimePoint armed_ = TimePoint::max();
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -38,6 +38,9 @@
 
 /// How often load is checked and shared; small beside the time for which a report holds.
 constexpr Duration kLoadTick = std::chrono::milliseconds(25);
+/// How often other data centres are told; their hosts send there only what they have no room for,
+/// and bytes between data centres cost.
+constexpr Duration kRemoteLoadTick = std::chrono::milliseconds(100);
 /// Older load is refreshed by a health check.
 constexpr Duration kLoadAge = std::chrono::milliseconds(60);
 
@@ -162,6 +165,7 @@
     LogEvent(LogLevel::kInfo, out->out ? "data_centre_out" : "data_centre_back",
              {{"data_centre", out->data_centre.str()}});
     pool_.SetOut(out->data_centre, out->out, now);
+    fleet_.SetOut(out->data_centre, out->out);
     forwarder_.Pump();
     return;
   }
@@ -251,23 +255,39 @@
   operator_reader_.SetSuspended(leaves_reading);
 }
 
+PeerMessage GatewayNode::LoadMessage(const std::set<ServerName>& servers, TimePoint now) const {
+  PeerMessage message;
+  message.beat = OwnBeat();
+  for (const ServerName& server : servers) {
+    const auto load = pool_.LoadReportOf(server);
+    if (load) message.loads.push_back({server, load->report, now - load->made});
+  }
+  return message;
+}
+
 /// Keeps the load of this data centre's servers fresh, and shares it with those who place too.
 void GatewayNode::WatchLoad() {
   const TimePoint now = MonotonicClock::now();
   const DeciderPlace place = fleet_.PlaceOfSelf(now);
   load_watch_.Tick({place.index, place.count, kLoadAge}, now);
-  std::vector<ServerName> reported = forwarder_.TakeReported();
-  for (ServerName& server : load_watch_.TakeReported()) reported.push_back(std::move(server));
+  std::set<ServerName> reported;
+  for (ServerName& server : forwarder_.TakeReported()) reported.insert(std::move(server));
+  for (ServerName& server : load_watch_.TakeReported()) reported.insert(std::move(server));
+  for (const ServerName& server : reported) {
+    if (pool_.IsLocal(server)) remote_news_.insert(server);
+  }
   const std::vector<std::string> others = fleet_.OtherDeciders(now);
-  if (!reported.empty() && !others.empty()) {
-    PeerMessage message;
-    message.beat = OwnBeat();
-    for (const ServerName& server : reported) {
-      const auto load = pool_.LoadReportOf(server);
-      if (load) message.loads.push_back({server, load->report, now - load->made});
-    }
+  auto in_flight = pool_.TakeInFlight();
+  if ((!reported.empty() || !in_flight.empty()) && !others.empty()) {
+    PeerMessage message = LoadMessage(reported, now);
+    message.in_flight = std::move(in_flight);
     peers_.Send(message, others);
   }
+  if (place.index == 0 && place.count > 0 && now - remote_told_ >= kRemoteLoadTick &&
+      !remote_news_.empty()) {
+    remote_told_ = now;
+    peers_.Send(LoadMessage(std::exchange(remote_news_, {}), now), fleet_.RemoteDeciders(now));
+  }
   load_timer_.expires_after(kLoadTick);
   load_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) WatchLoad();
@@ -292,7 +312,12 @@
   if (message.news) OnNews(*message.news, now);
   for (const SharedLoad& load : message.loads) {
     pool_.OnReport(load.id, load.report, now - load.age);
+    if (pool_.IsLocal(load.id)) remote_news_.insert(load.id);
+  }
+  for (const auto& [server, count] : message.in_flight) {
+    pool_.OnOthersInFlight(server, message.beat.record.host, count, now);
   }
+  if (!message.loads.empty() || !message.in_flight.empty()) forwarder_.Pump();
   // Another host has read further: the read here may hang on a silent connection.
   if (operator_reader_.complete() &&
       message.beat.operator_offset > operator_reader_.next_offset()) {
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -3,6 +3,8 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
+#include <set>
+#include <vector>
 
 #include "libgateway/caller_session.h"
 #include "libgateway/config_keeper.h"
@@ -45,6 +47,7 @@
   void OnNews(const ServerNews& news, TimePoint now);
   void ChooseReaders(TimePoint now);
   void WatchLoad();
+  PeerMessage LoadMessage(const std::set<ServerName>& servers, TimePoint now) const;
   HostBeat OwnBeat() const;
   std::vector<std::string> AllPeers() const;
   QuestionAnswer AnswerReadiness(const HttpMessage& question) const;
@@ -90,7 +93,9 @@
   /// When another host last sent what it has read of the store.
   TimePoint news_heard_;
   std::vector<TopicRecord> changes_;  ///< Of the read that is being taken.
-  bool relaying_ = false;
+  /// Servers whose load the other data centres have not been told yet.
+  std::set<ServerName> remote_news_;
+  TimePoint remote_told_;
   bool stopping_ = false;
   bool was_ready_ = false;
 };
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -50,6 +50,11 @@
   out.set_operator_offset(beat.operator_offset.value());
   out.set_store_answers(beat.store_answers);
   if (message.news) EncodeNews(*message.news, out.mutable_news());
+  for (const auto& [server, count] : message.in_flight) {
+    wire::InFlight* added = out.add_in_flight();
+    added->set_id(server.str());
+    added->set_count(count);
+  }
   for (const SharedLoad& load : message.loads) {
     wire::ServerLoad* added = out.add_loads();
     added->set_id(load.id.str());
@@ -83,6 +88,9 @@
       !ParseEndpoint(beat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "no host or no address in a datagram");
   }
+  for (const wire::InFlight& in_flight : in.in_flight()) {
+    message.in_flight.emplace_back(ServerName(in_flight.id()), in_flight.count());
+  }
   for (const wire::ServerLoad& load : in.loads()) {
     SharedLoad shared;
     shared.id = ServerName(load.id());
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libbase/base.h"
@@ -37,6 +38,8 @@
 struct PeerMessage {
   HostBeat beat;
   std::vector<SharedLoad> loads;
+  /// Requests that the sender has at servers.
+  std::vector<std::pair<ServerName, std::uint32_t>> in_flight;
   std::optional<ServerNews> news;
 };
 
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -14,8 +14,6 @@
 constexpr Duration kReportLife = std::chrono::milliseconds(400);
 /// A service that was not asked for within this time is not checked.
 constexpr Duration kProbeAfterRequest = std::chrono::seconds(1);
-/// How much work slows down beyond the knee.
-constexpr double kKneeFactor = 1.7;
 /// Bounds of a server's speed relative to its service, against outliers.
 constexpr double kMostSpeedFactor = 20;
 
@@ -107,7 +105,7 @@
 }
 
 std::variant<NoChoice, Choice> ServerPool::Choose(const ServiceName& service,
-                                                  const std::set<ServerName>& tried,
+                                                  const std::set<ServerName>& tried, bool hedge,
                                                   TimePoint now) {
   ServiceState& state = StateOf(service);
   state.asked = now;
@@ -118,7 +116,7 @@
   for (const ServerName& id : by_service_[service]) {
     Server& server = servers_.at(id);
     if (tried.count(id) != 0 || !Usable(server, now)) continue;
-    if (LoadOf(server, now) >= server.entry.slots * (1 + options_.server_queue)) {
+    if (LoadOf(server, now) >= LimitOf(server, hedge ? options_.hedge_load : options_.knee)) {
       reason = NoChoice::kAllBusy;
       continue;
     }
@@ -185,6 +183,23 @@
   server.speed += kSmoothing * (ratio - server.speed);
 }
 
+void ServerPool::OnOthersInFlight(const ServerName& id, const HostName& host,
+                                  std::uint32_t in_flight, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) found->second.others[host] = {in_flight, now};
+}
+
+std::vector<std::pair<ServerName, std::uint32_t>> ServerPool::TakeInFlight() {
+  std::vector<std::pair<ServerName, std::uint32_t>> changed;
+  for (auto& [id, server] : servers_) {
+    // What is not zero is told again, for datagrams get lost and others forget what is old.
+    if (server.in_flight == server.told_in_flight && server.in_flight == 0) continue;
+    server.told_in_flight = server.in_flight;
+    changed.emplace_back(id, server.in_flight);
+  }
+  return changed;
+}
+
 void ServerPool::OnReport(const ServerName& id, const LoadReport& report, TimePoint made) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || made < found->second.reported) return;
@@ -229,6 +244,11 @@
   return KnownLoad{found->second.report, found->second.reported};
 }
 
+bool ServerPool::IsLocal(const ServerName& id) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && found->second.entry.data_centre == options_.data_centre;
+}
+
 std::string ServerPool::Describe(const ServerName& id, TimePoint now) const {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return "unknown";
@@ -271,10 +291,19 @@
   return static_cast<double>(recent) + 1 <= borne * cold_share_;
 }
 
+/// Requests that a server may have at once.
+double ServerPool::LimitOf(const Server& server, double part) {
+  return std::max(1.0, std::floor(server.entry.slots * part));
+}
+
 double ServerPool::LoadOf(const Server& server, TimePoint now) const {
-  if (now - server.reported > kReportLife) return server.in_flight;
+  double in_flight = server.in_flight;
+  for (const auto& [host, told] : server.others) {
+    if (now - told.second <= kReportLife) in_flight += told.first;
+  }
+  if (now - server.reported > kReportLife) return in_flight;
   const double reported = server.report.running + server.report.waiting + server.since_report;
-  return std::max(reported, static_cast<double>(server.in_flight));
+  return std::max(reported, in_flight);
 }
 
 double ServerPool::SlownessOf(const Server& server, const ServiceState& service,
@@ -294,11 +323,9 @@
   double work = base / std::max(service.mean_slowness, 0.1) * std::max(server.speed, 0.2) *
                 SlownessOf(server, service, now);
   if (now < server.cold_until) work *= 2;
-  if (load + 1 > slots * options_.knee) work *= kKneeFactor;
-  const double wait = load >= slots ? work * (load - slots + 1) / slots : 0;
   // A small term prefers the emptier of two servers of the same speed.
   const double spread = base * 0.1 * load / slots;
-  Duration expected(static_cast<std::int64_t>(work + wait + spread));
+  Duration expected(static_cast<std::int64_t>(work + spread));
   if (server.entry.data_centre != options_.data_centre) expected += options_.remote_penalty;
   return expected;
 }
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -26,10 +26,11 @@
   /// Multiple of a service's cold rate that a cold server bears in one second, and requests on top.
   double cold_overage = 1;
   double cold_slack = 0;
-  /// Part of the slots from which a server's work slows down.
+  /// Part of the slots from which a server's work slows down; beyond it a server does less in all,
+  /// so that requests wait here instead.
   double knee = 0.8;
-  /// Requests that may wait at a server, as a part of its slots.
-  double server_queue = 0.5;
+  /// Part of the slots up to which a server takes a second send of a slow request.
+  double hedge_load = 0.5;
   std::uint64_t random_seed = 1;
 };
 
@@ -95,13 +96,21 @@
     options_.cold_slack = slack;
   }
 
-  /// Chooses the server with the least expected answer time. `tried` servers are left out.
+  /// Chooses the server with the least expected answer time. `tried` servers are left out; a
+  /// second send of a slow request (`hedge`) takes only a server with room to spare.
   std::variant<NoChoice, Choice> Choose(const ServiceName& service,
-                                        const std::set<ServerName>& tried, TimePoint now);
+                                        const std::set<ServerName>& tried, bool hedge,
+                                        TimePoint now);
 
   void OnSent(const ServerName& id, TimePoint now);
   void OnEnd(const ServerName& id, AttemptEnd end, TimePoint sent, TimePoint now);
-  /// Takes a report that was made `age` ago.
+  /// Takes how many requests another host of this data centre has at a server.
+  void OnOthersInFlight(const ServerName& id, const HostName& host, std::uint32_t in_flight,
+                        TimePoint now);
+  /// Returns how many requests this host has at each server where that has changed since the
+  /// last call.
+  std::vector<std::pair<ServerName, std::uint32_t>> TakeInFlight();
+  /// Takes a report that was made at `made`; older ones than the last are ignored.
   void OnReport(const ServerName& id, const LoadReport& report, TimePoint made);
   /// Takes a server's own word on how long it stays cold.
   void OnColdLeft(const ServerName& id, Duration left, TimePoint now);
@@ -115,6 +124,8 @@
   /// Returns "warm", "cold", "leaving", "out", "ejected" or "unknown", for the log.
   std::string Describe(const ServerName& id, TimePoint now) const;
 
+  /// True for servers of this host's data centre.
+  bool IsLocal(const ServerName& id) const;
   bool Known(const ServerName& id) const { return servers_.count(id) != 0; }
   /// Smoothed time of an answer of the service; `fallback` before the first.
   Duration ServiceTime(const ServiceName& service, Duration fallback) const;
@@ -125,7 +136,9 @@
   struct Server {
     ServerEntry entry;
     ServerHealth health;
-    std::uint32_t in_flight = 0;  ///< Sent by this host.
+    std::uint32_t in_flight = 0;       ///< Sent by this host.
+    std::uint32_t told_in_flight = 0;  ///< What other hosts were told of it.
+    std::map<HostName, std::pair<std::uint32_t, TimePoint>> others;  ///< Sent by other hosts.
     LoadReport report;
     std::int32_t since_report = 0;  ///< Own sends less own ends since the report.
     TimePoint reported;
@@ -143,6 +156,7 @@
 
   bool Usable(const Server& server, TimePoint now) const;
   bool HasColdRoom(const Server& server, const Service& service, TimePoint now) const;
+  static double LimitOf(const Server& server, double part);
   double LoadOf(const Server& server, TimePoint now) const;
   double SlownessOf(const Server& server, const ServiceState& service, TimePoint now) const;
   Duration ExpectedAt(const Server& server, const ServiceState& service, TimePoint now) const;
