Silence counts as a failure of a server; callers of a data centre without servers are named hosts elsewhere

Change: attempts that time out and unanswered checks count; two lost in a row eject; errors eject only while few of a service's servers fail; a failed server is tried with idempotent requests only; other data centres take only spare room.

--- a/src/libgateway/attempt_rules.cc
+++ b/src/libgateway/attempt_rules.cc
@@ -18,6 +18,8 @@
       return "not_sent";
     case AttemptEnd::kBroken:
       return "broken";
+    case AttemptEnd::kTimedOut:
+      return "timed_out";
     case AttemptEnd::kCancelled:
       return "cancelled";
   }
--- a/src/libgateway/attempt_rules.h
+++ b/src/libgateway/attempt_rules.h
@@ -16,7 +16,8 @@
   kConnectFailed,  ///< No connection in time; nothing was sent.
   kNotSent,        ///< Failed before the first byte of the request.
   kBroken,         ///< Failed after the first byte, or answered with bytes that are no answer.
-  kCancelled,      ///< Ended by this host.
+  kTimedOut,       ///< No answer by the time that the server was given.
+  kCancelled,      ///< Ended by this host before that.
 };
 
 /// Returns the snake_case name, for logs and metrics.
--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -8,6 +8,8 @@
 
 /// Seed of the rank, so that it differs from other uses of the hash.
 constexpr std::uint64_t kRankSeed = 0x6d756c;
+/// With fewer servers taking requests, those of a data centre can't bear its callers.
+constexpr double kLeastLocalPart = 0.3;
 
 }  // namespace
 
@@ -56,14 +58,14 @@
                                                  TimePoint now) const {
   std::vector<Candidate> own = DecidersOf(data_centre, now);
   std::vector<Candidate> chosen;
-  if (out_.count(data_centre) == 0) chosen = own;
+  if (CanServe(own)) chosen = own;
   if (chosen.empty()) {
     std::set<DataCentreName> names;
-    for (const Candidate& candidate : Live(now)) {
-      if (out_.count(candidate.data_centre) == 0) names.insert(candidate.data_centre);
-    }
+    for (const Candidate& candidate : Live(now)) names.insert(candidate.data_centre);
     for (const DataCentreName& name : names) {
-      for (Candidate& candidate : DecidersOf(name, now)) chosen.push_back(std::move(candidate));
+      std::vector<Candidate> others = DecidersOf(name, now);
+      if (!CanServe(others)) continue;
+      for (Candidate& candidate : others) chosen.push_back(std::move(candidate));
     }
   }
   if (chosen.empty()) chosen = std::move(own);
@@ -103,12 +105,10 @@
   return addresses;
 }
 
-void FleetView::SetOut(const DataCentreName& data_centre, bool out) {
-  if (out) {
-    out_.insert(data_centre);
-  } else {
-    out_.erase(data_centre);
-  }
+bool FleetView::CanServe(const std::vector<Candidate>& deciders) {
+  return std::any_of(deciders.begin(), deciders.end(), [](const Candidate& candidate) {
+    return candidate.local_part >= kLeastLocalPart;
+  });
 }
 
 bool FleetView::IsReader(TimePoint now) const {
@@ -136,14 +136,15 @@
   std::vector<Candidate> live;
   if (ready_ && !leaving_) {
     live.push_back({RankOf(options_.self.host), options_.self.data_centre,
-                    options_.self_caller_address, options_.self.peer_address, true,
-                    store_answers_});
+                    options_.self_caller_address, options_.self.peer_address, true, store_answers_,
+                    local_part_});
   }
   for (const auto& [name, peer] : peers_) {
     if (!peer.heard || now - peer.last_heard > options_.silent_after) continue;
     if (peer.beat.leaving || !peer.beat.ready) continue;
     live.push_back({RankOf(name), peer.beat.record.data_centre, peer.beat.caller_address,
-                    peer.beat.record.peer_address, false, peer.beat.store_answers});
+                    peer.beat.record.peer_address, false, peer.beat.store_answers,
+                    peer.beat.local_part});
   }
   std::sort(live.begin(), live.end());
   return live;
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +21,8 @@
   Offset operator_offset;
   /// The store answers this host.
   bool store_answers = false;
+  /// Part of the servers of the host's data centre that take requests, as the host sees it.
+  double local_part = 1;
 };
 
 /// A host's place among those named to the callers of its data centre.
@@ -58,8 +59,9 @@
   std::size_t HostsOfDataCentre() const;
   std::size_t Hosts() const { return peers_.size() + 1; }
 
-  /// Addresses for a caller of a data centre: its deciders, or those of the next data centre in
-  /// order when it has none. Never empty while this host is ready.
+  /// Addresses for a caller of a data centre: its deciders. When it has none, or few of its servers
+  /// take requests, callers are better served by hosts elsewhere, which know the load there.
+  /// Never empty while this host is ready.
   std::vector<std::string> AddressesFor(const DataCentreName& data_centre, TimePoint now) const;
   /// This host's place among those named to the callers of its data centre.
   DeciderPlace PlaceOfSelf(TimePoint now) const;
@@ -67,9 +69,8 @@
   std::vector<std::string> OtherDeciders(TimePoint now) const;
   /// The hosts that are named in the other data centres.
   std::vector<std::string> RemoteDeciders(TimePoint now) const;
-  /// A data centre whose servers get nothing: its callers are better served by hosts elsewhere,
-  /// which know the load there. Callers are named its own hosts when all data centres are out.
-  void SetOut(const DataCentreName& data_centre, bool out);
+  /// What this host says of HostBeat::local_part.
+  void SetLocalPart(double part) { local_part_ = part; }
   /// True when this host reads the store for all: it is one of the first two live hosts in rank
   /// that the store answers, in two data centres where there are.
   bool IsReader(TimePoint now) const;
@@ -91,18 +92,21 @@
     std::string peer_address;
     bool is_self = false;
     bool store_answers = false;
+    double local_part = 1;
     bool operator<(const Candidate& other) const { return rank < other.rank; }
   };
 
   std::vector<Candidate> Live(TimePoint now) const;
   std::vector<Candidate> DecidersOf(const DataCentreName& data_centre, TimePoint now) const;
+  /// True when the servers of the deciders' data centre can serve its callers.
+  static bool CanServe(const std::vector<Candidate>& deciders);
   static std::uint64_t RankOf(const HostName& host);
 
   FleetOptions options_;
   bool ready_ = false;
   bool leaving_ = false;
   bool store_answers_ = false;
-  std::set<DataCentreName> out_;
+  double local_part_ = 1;
   std::map<HostName, Peer> peers_;
 };
 
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -137,7 +137,7 @@
             {"held_ms", ToMilliseconds(MonotonicClock::now() - call->arrived)},
             {"attempts", call->state.attempts}});
   Dequeue(*call);
-  CancelAttempts(*call, MonotonicClock::now());
+  EndAttempts(*call, AttemptEnd::kCancelled, MonotonicClock::now());
   DropIfDone(id);
 }
 
@@ -152,7 +152,8 @@
     }
     return;
   }
-  const auto choice = parts_.pool.Choose(call.service, call.tried, hedge, now);
+  const auto choice =
+      parts_.pool.Choose({call.service, call.tried, call.state.idempotent, hedge}, now);
   if (const auto* chosen = std::get_if<Choice>(&choice)) {
     if (hedge && !retry_windows_.at(call.service).Take(true, now)) return;
     Dequeue(call);
@@ -461,11 +462,12 @@
   server_->Answer(exchange, std::move(head), std::string(reason) + "\n");
 }
 
-void Forwarder::CancelAttempts(Call& call, TimePoint now) {
+/// Closes the connections of the attempts that still run.
+void Forwarder::EndAttempts(Call& call, AttemptEnd end, TimePoint now) {
   for (Attempt& attempt : std::exchange(call.running, {})) {
     attempt.link->Close();
-    parts_.pool.OnEnd(attempt.server, AttemptEnd::kCancelled, attempt.sent, now);
-    parts_.metrics.OnAttempt(AttemptEndName(AttemptEnd::kCancelled), now - attempt.sent);
+    parts_.pool.OnEnd(attempt.server, end, attempt.sent, now);
+    parts_.metrics.OnAttempt(AttemptEndName(end), now - attempt.sent);
   }
   call.state.running = 0;
 }
@@ -550,7 +552,7 @@
 void Forwarder::OnDue(Call& call, TimePoint now) {
   const CallId id = call.id;
   if (call.answered) {
-    CancelAttempts(call, now);
+    EndAttempts(call, AttemptEnd::kTimedOut, now);
     DropIfDone(id);
     return;
   }
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -105,7 +105,7 @@
   void Reply(Call& call, std::string head, const std::string& body);
   void Refuse(ExchangeId exchange, int status, std::string_view reason,
               std::string_view request_id);
-  void CancelAttempts(Call& call, TimePoint now);
+  void EndAttempts(Call& call, AttemptEnd end, TimePoint now);
   void DropIfDone(CallId id);
   WaitQuestion QuestionOf(const Call& call, TimePoint now) const;
   Duration RetryAfterFor(const Call& call, TimePoint now);
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -165,7 +165,8 @@
     LogEvent(LogLevel::kInfo, out->out ? "data_centre_out" : "data_centre_back",
              {{"data_centre", out->data_centre.str()}});
     pool_.SetOut(out->data_centre, out->out, now);
-    fleet_.SetOut(out->data_centre, out->out);
+    UpdateShares(now);
+    SendBeat();
     forwarder_.Pump();
     return;
   }
@@ -335,6 +336,7 @@
   beat.ready = Ready();
   beat.version = config_.version();
   beat.operator_offset = operator_reader_.next_offset();
+  beat.local_part = pool_.LocalPart(MonotonicClock::now());
   beat.store_answers = server_reader_.complete() && !server_reader_.failing();
   return beat;
 }
@@ -377,6 +379,7 @@
 
 void GatewayNode::UpdateShares(TimePoint now) {
   fleet_.SetSelf(Ready(), stopping_, server_reader_.complete() && !server_reader_.failing());
+  fleet_.SetLocalPart(pool_.LocalPart(now));
   forwarder_.SetSlackPart(1.0 / static_cast<double>(fleet_.Hosts()));
   pool_.SetColdShare(ColdShare(now));
 }
--- a/src/libgateway/load_watch.cc
+++ b/src/libgateway/load_watch.cc
@@ -32,6 +32,7 @@
     }
     check->second.link->Close();
     metrics_.OnProbe("timed_out");
+    pool_.OnProbeEnd(check->first, false, now);
     check = running_.erase(check);
   }
   for (const ProbeTarget& target : pool_.DueProbes(share, now)) {
@@ -57,7 +58,10 @@
   const auto check = running_.extract(target.id);
   if (check.empty()) return;
   links_.Give(target.address, check.mapped().link);
+  const TimePoint now = MonotonicClock::now();
   if (answer.end != LinkEnd::kAnswered) {
+    // A kept connection may have been closed unseen, which says nothing of the server.
+    if (!answer.reused) pool_.OnProbeEnd(target.id, false, now);
     metrics_.OnProbe("failed");
     return;
   }
@@ -67,7 +71,7 @@
     return;
   }
   metrics_.OnProbe("answered");
-  const TimePoint now = MonotonicClock::now();
+  pool_.OnProbeEnd(target.id, true, now);
   pool_.OnColdLeft(target.id, report.cold_left, now);
   if (!report.load) return;
   pool_.OnReport(target.id, *report.load, now);
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -49,6 +49,7 @@
   out.set_config_version(beat.version.value());
   out.set_operator_offset(beat.operator_offset.value());
   out.set_store_answers(beat.store_answers);
+  out.set_local_part_percent(static_cast<std::uint32_t>(std::lround(beat.local_part * kPercent)));
   if (message.news) EncodeNews(*message.news, out.mutable_news());
   for (const auto& [server, count] : message.in_flight) {
     wire::InFlight* added = out.add_in_flight();
@@ -83,6 +84,7 @@
   beat.version = ConfigVersion(in.config_version());
   beat.operator_offset = Offset(in.operator_offset());
   beat.store_answers = in.store_answers();
+  beat.local_part = in.local_part_percent() / kPercent;
   if (in.has_news()) message.news = DecodeNews(in.news());
   if (beat.record.host.empty() || !ParseEndpoint(beat.record.peer_address) ||
       !ParseEndpoint(beat.caller_address)) {
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -12,6 +12,11 @@
 constexpr double kSmoothing = 1.0 / 16;
 /// After this time without a report, only this host's own requests are counted as load.
 constexpr Duration kReportLife = std::chrono::milliseconds(400);
+/// Health checks in a row without an answer that tell that a server is away.
+constexpr std::uint32_t kSilentProbes = 2;
+/// When more of a service's servers than this part answer with errors, avoiding them makes it
+/// worse.
+constexpr double kMostEjectedPart = 0.34;
 /// A service that was not asked for within this time is not checked.
 constexpr Duration kProbeAfterRequest = std::chrono::seconds(1);
 /// Bounds of a server's speed relative to its service, against outliers.
@@ -32,6 +37,8 @@
       return DispatchResult::kNotSent;
     case AttemptEnd::kBroken:
       return DispatchResult::kBroken;
+    case AttemptEnd::kTimedOut:
+      return DispatchResult::kTimedOut;
     case AttemptEnd::kCancelled:
       return DispatchResult::kCancelled;
   }
@@ -76,7 +83,7 @@
                        entry.cold_left > Duration::zero();
   server.entry = entry;
   if (restarted) {
-    server.health = ServerHealth();
+    server.health = ServerHealth(kHealthLimits);
     server.speed = 1;
     MarkCold(server, now);
   }
@@ -104,19 +111,20 @@
   }
 }
 
-std::variant<NoChoice, Choice> ServerPool::Choose(const ServiceName& service,
-                                                  const std::set<ServerName>& tried, bool hedge,
-                                                  TimePoint now) {
-  ServiceState& state = StateOf(service);
+std::variant<NoChoice, Choice> ServerPool::Choose(const ChoiceQuestion& question, TimePoint now) {
+  ServiceState& state = StateOf(question.service);
   state.asked = now;
   Server* best = nullptr;
   Duration best_expected = Duration::max();
   NoChoice reason = NoChoice::kNoServer;
   std::uint32_t equals = 0;
-  for (const ServerName& id : by_service_[service]) {
+  for (const ServerName& id : by_service_[question.service]) {
     Server& server = servers_.at(id);
-    if (tried.count(id) != 0 || !Usable(server, now)) continue;
-    if (LoadOf(server, now) >= LimitOf(server, hedge ? options_.hedge_load : options_.knee)) {
+    if (question.tried.count(id) != 0 || !Usable(server, now)) continue;
+    const bool on_trial = server.health.StateAt(now) == ServerHealth::State::kTrial;
+    if (on_trial && !question.idempotent) continue;
+    const bool spare_only = question.hedge || server.entry.data_centre != options_.data_centre;
+    if (LoadOf(server, now) >= LimitOf(server, spare_only ? options_.spare_load : options_.knee)) {
       reason = NoChoice::kAllBusy;
       continue;
     }
@@ -163,9 +171,12 @@
   --server.since_report;
   server.health.OnResult(ToHealthResult(end), sent, now);
   const bool lost = end == AttemptEnd::kConnectFailed || end == AttemptEnd::kNotSent;
-  if (server.health.StateAt(now) == ServerHealth::State::kHealthy &&
-      (server.health.Unreachable() || server.health.AnswersErrors())) {
-    server.health.Eject(now);
+  if (server.health.StateAt(now) == ServerHealth::State::kHealthy) {
+    if (server.health.Unreachable()) {
+      Eject(server, "unreachable", now);
+    } else if (server.health.AnswersErrors() && !TooManyEjected(server.entry.service, now)) {
+      Eject(server, AttemptEndName(end), now);
+    }
   }
   if (lost) {
     server.lost_since = std::min(server.lost_since, now);
@@ -211,6 +222,25 @@
   state.mean_slowness += kSmoothing * (report.slowness - state.mean_slowness);
 }
 
+void ServerPool::OnProbeEnd(const ServerName& id, bool answered, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  if (!answered) {
+    server.lost_since = std::min(server.lost_since, now);
+    if (++server.silent_probes < kSilentProbes) return;
+    if (server.health.StateAt(now) != ServerHealth::State::kEjected) Eject(server, "silent", now);
+    return;
+  }
+  const bool was_silent = server.silent_probes >= kSilentProbes;
+  server.silent_probes = 0;
+  if (!was_silent) return;
+  LogEvent(LogLevel::kInfo, "server_answers_again", {{"server", id.str()}});
+  server.health.Readmit(now);
+  server.lost_since = TimePoint::max();
+  MarkCold(server, now);
+}
+
 void ServerPool::OnColdLeft(const ServerName& id, Duration left, TimePoint now) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || left <= Duration::zero()) return;
@@ -267,6 +297,39 @@
   return slots;
 }
 
+double ServerPool::LocalPart(TimePoint now) const {
+  std::size_t local = 0;
+  std::size_t usable = 0;
+  for (const auto& [id, server] : servers_) {
+    if (server.entry.data_centre != options_.data_centre) continue;
+    ++local;
+    if (server.health.StateAt(now) == ServerHealth::State::kHealthy && Usable(server, now)) {
+      ++usable;
+    }
+  }
+  return local == 0 ? 1 : static_cast<double>(usable) / static_cast<double>(local);
+}
+
+void ServerPool::Eject(Server& server, const char* why, TimePoint now) {
+  server.health.Eject(now);
+  LogEvent(LogLevel::kInfo, "server_ejected",
+           {{"server", server.entry.id.str()},
+            {"why", why},
+            {"in_flight", server.in_flight},
+            {"for_ms", ToMilliseconds(server.health.TrialTime() - now)}});
+}
+
+bool ServerPool::TooManyEjected(const ServiceName& service, TimePoint now) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return false;
+  const auto ejected =
+      std::count_if(found->second.begin(), found->second.end(), [&](const ServerName& id) {
+        return servers_.at(id).health.StateAt(now) != ServerHealth::State::kHealthy;
+      });
+  return static_cast<double>(ejected) + 1 >
+         kMostEjectedPart * static_cast<double>(found->second.size());
+}
+
 bool ServerPool::Usable(const Server& server, TimePoint now) const {
   if (server.entry.leaving || out_.count(server.entry.data_centre) != 0) return false;
   switch (server.health.StateAt(now)) {
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -29,11 +29,23 @@
   /// Part of the slots from which a server's work slows down; beyond it a server does less in all,
   /// so that requests wait here instead.
   double knee = 0.8;
-  /// Part of the slots up to which a server takes a second send of a slow request.
-  double hedge_load = 0.5;
+  /// Part of the slots up to which a server takes a second send of a slow request, or requests of
+  /// another data centre: hosts there hear of its load late, and many of them at once.
+  double spare_load = 0.5;
   std::uint64_t random_seed = 1;
 };
 
+/// What a server is chosen for.
+struct ChoiceQuestion {
+  const ServiceName& service;
+  /// Servers that are left out.
+  const std::set<ServerName>& tried;
+  /// Only such a request tries a server that failed lately.
+  bool idempotent = false;
+  /// A second send of a slow request; it takes only a server with room to spare.
+  bool hedge = false;
+};
+
 /// One server that was chosen.
 struct Choice {
   ServerName id;
@@ -96,11 +108,8 @@
     options_.cold_slack = slack;
   }
 
-  /// Chooses the server with the least expected answer time. `tried` servers are left out; a
-  /// second send of a slow request (`hedge`) takes only a server with room to spare.
-  std::variant<NoChoice, Choice> Choose(const ServiceName& service,
-                                        const std::set<ServerName>& tried, bool hedge,
-                                        TimePoint now);
+  /// Chooses the server with the least expected answer time.
+  std::variant<NoChoice, Choice> Choose(const ChoiceQuestion& question, TimePoint now);
 
   void OnSent(const ServerName& id, TimePoint now);
   void OnEnd(const ServerName& id, AttemptEnd end, TimePoint sent, TimePoint now);
@@ -112,6 +121,9 @@
   std::vector<std::pair<ServerName, std::uint32_t>> TakeInFlight();
   /// Takes a report that was made at `made`; older ones than the last are ignored.
   void OnReport(const ServerName& id, const LoadReport& report, TimePoint made);
+  /// Takes the end of a health check of this host. Only silence tells something: what a server says
+  /// of its health can be false.
+  void OnProbeEnd(const ServerName& id, bool answered, TimePoint now);
   /// Takes a server's own word on how long it stays cold.
   void OnColdLeft(const ServerName& id, Duration left, TimePoint now);
 
@@ -131,11 +143,17 @@
   Duration ServiceTime(const ServiceName& service, Duration fallback) const;
   std::size_t size() const { return servers_.size(); }
   std::size_t SlotsOf(const ServiceName& service) const;
+  /// Part of the servers of this host's data centre that take requests, 0 to 1; 1 when there are
+  /// none at all.
+  double LocalPart(TimePoint now) const;
 
  private:
+  /// A lost connection is rare, so that two in a row tell; errors are less certain.
+  static constexpr HealthLimits kHealthLimits{.lost_in_row = 2, .failures_in_row = 4};
+
   struct Server {
     ServerEntry entry;
-    ServerHealth health;
+    ServerHealth health{kHealthLimits};
     std::uint32_t in_flight = 0;       ///< Sent by this host.
     std::uint32_t told_in_flight = 0;  ///< What other hosts were told of it.
     std::map<HostName, std::pair<std::uint32_t, TimePoint>> others;  ///< Sent by other hosts.
@@ -144,6 +162,7 @@
     TimePoint reported;
     TimePoint cold_until;
     TimePoint lost_since = TimePoint::max();  ///< Unreachable since.
+    std::uint32_t silent_probes = 0;
     std::deque<TimePoint> cold_sends;
     double speed = 1;  ///< Answer time as a multiple of the service's.
   };
@@ -155,6 +174,9 @@
   };
 
   bool Usable(const Server& server, TimePoint now) const;
+  void Eject(Server& server, const char* why, TimePoint now);
+  /// True when so many servers of the service are ejected that the failures are not theirs alone.
+  bool TooManyEjected(const ServiceName& service, TimePoint now) const;
   bool HasColdRoom(const Server& server, const Service& service, TimePoint now) const;
   static double LimitOf(const Server& server, double part);
   double LoadOf(const Server& server, TimePoint now) const;
--- a/src/libpolicy/server_health.cc
+++ b/src/libpolicy/server_health.cc
@@ -5,7 +5,6 @@
 namespace mulberry {
 namespace {
 
-constexpr std::uint32_t kFailuresInRow = 5;
 constexpr std::uint32_t kLeastResults = 16;
 constexpr double kFailureShareLimit = 0.5;
 constexpr double kShareWeight = 1.0 / 16;
@@ -38,10 +37,10 @@
   return now - last_failure_ < kAvoidAfterFailure ? failure_share_ : 0;
 }
 
-bool ServerHealth::Unreachable() const { return lost_in_row_ >= kFailuresInRow; }
+bool ServerHealth::Unreachable() const { return lost_in_row_ >= limits_.lost_in_row; }
 
 bool ServerHealth::AnswersErrors() const {
-  if (failures_in_row_ >= kFailuresInRow) return true;
+  if (failures_in_row_ >= limits_.failures_in_row) return true;
   return results_ >= kLeastResults && failure_share_ > kFailureShareLimit;
 }
 
--- a/src/libpolicy/server_health.h
+++ b/src/libpolicy/server_health.h
@@ -6,12 +6,22 @@
 
 namespace mulberry {
 
+/// How many failures in a row count as such.
+struct HealthLimits {
+  /// Attempts that never reached the server or lost their connection.
+  std::uint32_t lost_in_row = 5;
+  /// Failures of any kind.
+  std::uint32_t failures_in_row = 5;
+};
+
 /// Whether one server fails, and for how long it is ejected. An ejected server gets no requests
 /// until its back-off is over, then one trial request at a time. Not thread safe.
 class ServerHealth {
  public:
   enum class State { kHealthy, kEjected, kTrial };
 
+  explicit ServerHealth(HealthLimits limits = {}) : limits_(limits) {}
+
   /// Takes the result of an attempt that began at `started`; kCancelled says nothing.
   void OnResult(DispatchResult result, TimePoint started, TimePoint now);
 
@@ -30,12 +40,13 @@
   void Eject(TimePoint now);
   /// Ends the back-off early, so that a trial request can go.
   void AllowTrial(TimePoint now);
+  /// Ends the ejection, as after a successful trial.
+  void Readmit(TimePoint now);
   /// Time at which a trial is allowed; TimePoint::max() when the server is not ejected.
   TimePoint TrialTime() const;
 
  private:
-  void Readmit(TimePoint now);
-
+  HealthLimits limits_;
   std::uint32_t failures_in_row_ = 0;
   std::uint32_t lost_in_row_ = 0;
   std::uint32_t results_ = 0;
--- a/tests/gateway/server_pool_test.cc
+++ b/tests/gateway/server_pool_test.cc
@@ -11,6 +11,7 @@
 using std::chrono::seconds;
 
 const ServiceName kService("search");
+const std::set<ServerName> kNone;
 const DataCentreName kHere("here");
 const DataCentreName kThere("there");
 
@@ -35,7 +36,7 @@
   }
 
   std::optional<ServerName> Chosen(const std::set<ServerName>& tried = {}) {
-    const auto choice = pool.Choose(kService, tried, false, now);
+    const auto choice = pool.Choose({kService, tried, true, false}, now);
     const auto* chosen = std::get_if<Choice>(&choice);
     return chosen == nullptr ? std::nullopt : std::optional(chosen->id);
   }
@@ -73,7 +74,7 @@
   pool.OnReport(ServerName("a"), {.running = 4, .waiting = 2, .slots = 4}, now);
   CHECK(Chosen() == ServerName("b"));
   pool.OnReport(ServerName("b"), {.running = 4, .waiting = 2, .slots = 4}, now);
-  CHECK(std::get<NoChoice>(pool.Choose(kService, {}, false, now)) == NoChoice::kAllBusy);
+  CHECK(std::get<NoChoice>(pool.Choose({kService, kNone, true, false}, now)) == NoChoice::kAllBusy);
 }
 
 TEST_CASE_FIXTURE(Fixture, "the own data centre is preferred unless its servers are busy") {
@@ -92,7 +93,7 @@
   CHECK(pool.Put(leaving, now));
   CHECK(Chosen() == ServerName("b"));
   pool.SetOut(kThere, true, now);
-  CHECK(std::get<NoChoice>(pool.Choose(kService, {}, false, now)) == NoChoice::kNoServer);
+  CHECK(std::get<NoChoice>(pool.Choose({kService, kNone, true, false}, now)) == NoChoice::kNoServer);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a cold server gets this host's share of what it bears and no more") {
