An answer's load report counts the answered request itself

Cause: hosts that heard a report from another host took a server for fuller by one request than it was.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -325,13 +325,8 @@
     links_.Drop(attempt.address);
   }
   links_.Give(attempt.address, attempt.link);
-  if (const std::string* load = FindHeader(answer.message.headers, parts_.adapter.headers().load)) {
-    if (const auto report = parts_.adapter.ParseLoad(*load)) {
-      parts_.pool.OnReport(attempt.server, *report, now);
-      reported_.insert(attempt.server);
-    }
-  }
   parts_.pool.OnEnd(attempt.server, end, attempt.sent, now);
+  TakeLoad(attempt.server, end, answer.message, now);
   parts_.metrics.OnAttempt(AttemptEndName(end), now - attempt.sent);
   --call->state.running;
   if (!ProvesNotRun(end) && end != AttemptEnd::kAnswered) call->state.may_have_run = true;
@@ -351,6 +346,18 @@
   Pump();
 }
 
+void Forwarder::TakeLoad(const ServerName& server, AttemptEnd end, const HttpMessage& message,
+                         TimePoint now) {
+  const std::string* load = FindHeader(message.headers, parts_.adapter.headers().load);
+  if (load == nullptr) return;
+  auto report = parts_.adapter.ParseLoad(*load);
+  if (!report) return;
+  // The report of an answer still counts the request that it answers.
+  if (!ProvesNotRun(end) && report->running > 0) --report->running;
+  parts_.pool.OnReport(server, *report, now);
+  reported_.insert(server);
+}
+
 void Forwarder::AfterEnd(Call& call, AttemptEnd end, HttpMessage& message, const Attempt& attempt,
                          TimePoint now) {
   switch (AfterAttempt(call.state, end)) {
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -96,6 +96,8 @@
   void Send(Call& call, const Choice& choice, bool hedge, TimePoint now);
   std::string RequestBytes(const Call& call, const Choice& choice, TimePoint now) const;
   void OnAttemptEnd(CallId id, AttemptId attempt, LinkAnswer answer);
+  void TakeLoad(const ServerName& server, AttemptEnd end, const HttpMessage& message,
+                TimePoint now);
   AttemptEnd Classify(const Call& call, const LinkAnswer& answer) const;
   void AfterEnd(Call& call, AttemptEnd end, HttpMessage& message, const Attempt& attempt,
                 TimePoint now);
