Queue serves first what can still be in target; admission asks whether the target can be met

Change: CallQueue, a class of its own: in-target calls first, then by urgency and due time; admission counts only those.

--- a/src/libgateway/admission.cc
+++ b/src/libgateway/admission.cc
@@ -8,8 +8,8 @@
 
 /// The rate of dispatches is taken over this time.
 constexpr Duration kRateWindow = std::chrono::milliseconds(500);
-/// Part of the time between target and deadline that a request may be expected to miss its target
-/// by, since estimates are rough and a late answer is better than none.
+/// Part of the time between target and deadline for which a request that was expected to be in
+/// target still waits once it is not: a late answer is better than none.
 constexpr double kLatePart = 0.2;
 /// Part of a usual answer time that must be left.
 constexpr double kServicePart = 0.8;
@@ -41,8 +41,13 @@
   return std::chrono::duration_cast<Duration>(wait);
 }
 
+bool CanBeInTarget(TimePoint due, Duration service_time, TimePoint now) {
+  return now + Scale(service_time, kServicePart) <= due;
+}
+
 bool IsWorthWaiting(const WaitQuestion& question, TimePoint now) {
-  return now + ExpectedWait(question) <= WaitLimit(question);
+  const TimePoint start = now + ExpectedWait(question);
+  return CanBeInTarget(question.due, question.service_time, start);
 }
 
 TimePoint WaitLimit(const WaitQuestion& question) {
--- a/src/libgateway/admission.h
+++ b/src/libgateway/admission.h
@@ -30,9 +30,11 @@
 /// Returns how long the request would wait for a server. Thread safety of all: any thread.
 Duration ExpectedWait(const WaitQuestion& question);
 
-/// Answers a load above what the servers bear: a request that would miss its target by much is
-/// refused at its arrival, when its caller can still use the time, instead of making all requests
-/// late.
+/// True when a call that gets a server now can be answered by its due time.
+bool CanBeInTarget(TimePoint due, Duration service_time, TimePoint now);
+
+/// Answers a load above what the servers bear: a request that would miss its target is refused at
+/// its arrival, when its caller can still use the time, instead of making all requests late.
 bool IsWorthWaiting(const WaitQuestion& question, TimePoint now);
 
 /// Until when a request may wait in a queue; after it, the caller is told.
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -172,15 +172,14 @@
              RetryAfterFor(call, now), now);
     return;
   }
-  Waiting& waiting = waiting_[call.service];
   if (!call.queued) {
-    if (!IsWorthWaiting(QuestionOf(call, now), now)) {
+    const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
+    call.queued = queues_[call.service].Offer(QueuedFormOf(call), usual, now);
+    if (!call.queued) {
       FailCall(call, FailureStatus(call.state.may_have_run, false), "queue_too_long",
                RetryAfterFor(call, now), now);
       return;
     }
-    call.queued = true;
-    waiting.emplace(call.route->urgency, call.arrived + call.route->latency_target, call.id);
   }
   SetTimer(call);
 }
@@ -188,8 +187,7 @@
 void Forwarder::Dequeue(Call& call) {
   if (!call.queued) return;
   call.queued = false;
-  waiting_[call.service].erase(
-      {call.route->urgency, call.arrived + call.route->latency_target, call.id});
+  queues_[call.service].Remove(QueuedFormOf(call));
   parts_.metrics.OnQueueWait(MonotonicClock::now() - call.arrived);
 }
 
@@ -197,16 +195,18 @@
   if (pumping_) return;
   pumping_ = true;
   const TimePoint now = MonotonicClock::now();
-  for (auto& [service, waiting] : waiting_) {
-    while (!waiting.empty()) {
-      const std::size_t before = waiting.size();
-      Call* call = Find(std::get<CallId>(*waiting.begin()));
+  for (auto& [service, queue] : queues_) {
+    while (!queue.empty()) {
+      const std::size_t before = queue.size();
+      const QueuedCall next =
+          queue.Next(parts_.pool.ServiceTime(service, kUnknownServiceTime), now);
+      Call* call = Find(next.id);
       if (call == nullptr) {
-        waiting.erase(waiting.begin());
+        queue.Remove(next);
         continue;
       }
       TryPlace(*call, false, now);
-      if (waiting.size() == before) break;
+      if (queue.size() == before) break;
     }
   }
   pumping_ = false;
@@ -228,7 +228,7 @@
   ++call.state.running;
   call.tried.insert(choice.id);
   parts_.pool.OnSent(choice.id, now);
-  rates_[call.service].OnDispatch(now);
+  queues_[call.service].OnDispatch(now);
   LinkRequest request;
   request.bytes = RequestBytes(call, choice, now);
   request.is_head = call.request.method == "HEAD";
@@ -487,24 +487,13 @@
   calls_.erase(found);
 }
 
-/// What a call waits behind: calls of the same service that are as urgent and came before, or more
-/// urgent.
-WaitQuestion Forwarder::QuestionOf(const Call& call, TimePoint now) const {
-  WaitQuestion question;
-  question.due = call.arrived + call.route->latency_target;
-  question.deadline = call.deadline;
-  question.service_time = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
-  const double least =
-      1 / std::max(1e-3, std::chrono::duration<double>(question.service_time).count());
-  const auto rate = rates_.find(call.service);
-  question.rate = rate == rates_.end() ? least : rate->second.PerSecond(least, now);
-  const auto waiting = waiting_.find(call.service);
-  if (waiting == waiting_.end()) return question;
-  for (const auto& [urgency, due, id] : waiting->second) {
-    if (std::tie(urgency, due) > std::tie(call.route->urgency, question.due)) break;
-    if (id != call.id) ++question.ahead;
-  }
-  return question;
+QueuedCall Forwarder::QueuedFormOf(const Call& call) {
+  return {call.id, call.route->urgency, call.arrived + call.route->latency_target, call.deadline};
+}
+
+WaitQuestion Forwarder::QuestionOf(const Call& call, TimePoint now) {
+  return queues_[call.service].QuestionOf(
+      QueuedFormOf(call), parts_.pool.ServiceTime(call.service, kUnknownServiceTime), now);
 }
 
 Duration Forwarder::RetryAfterFor(const Call& call, TimePoint now) {
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -9,12 +9,11 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
-#include "libgateway/admission.h"
 #include "libgateway/attempt_rules.h"
+#include "libgateway/call_queue.h"
 #include "libgateway/caller_session.h"
 #include "libgateway/config_keeper.h"
 #include "libgateway/gateway_metrics.h"
@@ -85,9 +84,6 @@
     bool queued = false;
     const char* last_reason = "";
   };
-  /// Calls that wait, most urgent first: urgency, time by which the target is missed, number.
-  using Waiting = std::set<std::tuple<std::uint32_t, TimePoint, CallId>>;
-
   Call* Find(CallId id);
   bool Admit(Call& call);
   void TryPlace(Call& call, bool hedge, TimePoint now);
@@ -109,7 +105,8 @@
               std::string_view request_id);
   void EndAttempts(Call& call, AttemptEnd end, TimePoint now);
   void DropIfDone(CallId id);
-  WaitQuestion QuestionOf(const Call& call, TimePoint now) const;
+  static QueuedCall QueuedFormOf(const Call& call);
+  WaitQuestion QuestionOf(const Call& call, TimePoint now);
   Duration RetryAfterFor(const Call& call, TimePoint now);
 
   void SetTimer(Call& call);
@@ -125,8 +122,7 @@
   double slack_part_ = 0;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   std::unordered_map<ExchangeId, CallId> by_exchange_;
-  std::map<ServiceName, Waiting> waiting_;
-  std::map<ServiceName, DispatchRate> rates_;
+  std::map<ServiceName, CallQueue> queues_;
   std::minstd_rand random_{std::random_device{}()};
   std::set<std::pair<TimePoint, CallId>> timers_;
   asio::steady_timer timer_;
--- /dev/null
+++ b/tests/gateway/overload_model.cc
@@ -0,0 +1,179 @@
+#include "overload_model.h"
+
+#include <algorithm>
+
+namespace mulberry::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceName kService("search");
+const DataCentreName kHere("here");
+constexpr std::uint32_t kSlots = 4;
+constexpr double kKnee = 0.8;
+constexpr double kKneeFactor = 1.7;
+constexpr double kSlowPart = 0.25;
+constexpr double kSlowFactor = 5;
+constexpr double kWorkSeconds = 0.06;
+constexpr Duration kStep = milliseconds(1);
+constexpr Duration kRedraw = milliseconds(150);
+constexpr Duration kReports = milliseconds(25);
+
+}  // namespace
+
+OverloadModel::OverloadModel(OverloadOptions options)
+    : options_(std::move(options)), pool_(options_.pool), random_(options_.seed) {
+  pool_.SetServices({{kService, {.name = kService, .health_path = "/health"}}});
+  for (int i = 0; i < options_.servers; ++i) {
+    ServerEntry entry;
+    entry.id = ServerName("s" + std::to_string(i));
+    entry.service = kService;
+    entry.data_centre = kHere;
+    entry.slots = kSlots;
+    pool_.Put(entry, TimePoint());
+    servers_[entry.id] = {};
+  }
+  DrawSpeeds();
+}
+
+std::map<std::uint32_t, KindResult> OverloadModel::Play(Duration length) {
+  TimePoint now = TimePoint(std::chrono::seconds(10));
+  const TimePoint end = now + length;
+  TimePoint redraw = now;
+  TimePoint report = now;
+  for (; now < end; now += kStep) {
+    if (now >= redraw) {
+      DrawSpeeds();
+      redraw = now + kRedraw;
+    }
+    if (now >= report) {
+      for (const auto& [id, server] : servers_) pool_.OnReport(id, ReportOf(server), now);
+      report = now + kReports;
+    }
+    Work(kStep, now);
+    Expire(now);
+    Place(now);
+    Arrive(now);
+  }
+  return results_;
+}
+
+void OverloadModel::Arrive(TimePoint now) {
+  const double step = std::chrono::duration<double>(kStep).count();
+  std::uniform_real_distribution<double> unit(0, 1);
+  for (const std::uint32_t urgency : {1U, 2U}) {
+    const double rate = urgency == 1 ? options_.urgent_rate : options_.usual_rate;
+    if (unit(random_) >= rate * step) continue;
+    Caller caller;
+    caller.arrived = now;
+    caller.call = {CallId(next_id_++), urgency, now + milliseconds(200), now + milliseconds(800)};
+    ++results_[urgency].asked;
+    if (queue_.empty() && TrySend(caller, now)) continue;
+    const Duration usual = pool_.ServiceTime(kService, milliseconds(60));
+    if (options_.admission) {
+      if (queue_.Offer(caller.call, usual, now)) {
+        caller.waits = true;
+        callers_[caller.call.id.value()] = caller;
+      } else {
+        Refuse(caller, now);
+      }
+      continue;
+    }
+    QueuedCall patient = caller.call;
+    patient.due = now + std::chrono::hours(1);
+    patient.deadline = patient.due;
+    if (queue_.Offer(patient, usual, now)) callers_[caller.call.id.value()] = {patient, now, true};
+  }
+}
+
+void OverloadModel::Expire(TimePoint now) {
+  const Duration usual = pool_.ServiceTime(kService, milliseconds(60));
+  for (auto entry = callers_.begin(); entry != callers_.end();) {
+    const Caller caller = entry->second;
+    const TimePoint limit = options_.admission
+                                ? WaitLimit(queue_.QuestionOf(caller.call, usual, now))
+                                : caller.arrived + milliseconds(800);
+    ++entry;
+    if (!caller.waits || now <= limit) continue;
+    queue_.Remove(caller.call);
+    callers_.erase(caller.call.id.value());
+    Refuse(caller, now);
+  }
+}
+
+void OverloadModel::Place(TimePoint now) {
+  while (!queue_.empty()) {
+    const QueuedCall next = queue_.Next(pool_.ServiceTime(kService, milliseconds(60)), now);
+    const Caller caller = callers_.at(next.id.value());
+    if (!TrySend(caller, now)) return;
+    queue_.Remove(next);
+  }
+}
+
+bool OverloadModel::TrySend(const Caller& caller, TimePoint now) {
+  const std::set<ServerName> none;
+  const auto choice = pool_.Choose({kService, none, true, false}, now);
+  const auto* chosen = std::get_if<Choice>(&choice);
+  if (chosen == nullptr) return false;
+  pool_.OnSent(chosen->id, now);
+  queue_.OnDispatch(now);
+  callers_[caller.call.id.value()] = {caller.call, caller.arrived, false};
+  std::uniform_real_distribution<double> spread(0.7, 1.3);
+  servers_[chosen->id].running.push_back(
+      {caller.call.id.value(), now, kWorkSeconds * spread(random_)});
+  return true;
+}
+
+/// The first `kSlots` requests of a server work; the others wait at it.
+void OverloadModel::Work(Duration step, TimePoint now) {
+  for (auto& [id, server] : servers_) {
+    const std::size_t working = std::min<std::size_t>(kSlots, server.running.size());
+    double speed = std::chrono::duration<double>(step).count() / server.slowness;
+    if (static_cast<double>(working) > kKnee * kSlots) speed /= kKneeFactor;
+    for (std::size_t i = 0; i < working; ++i) server.running[i].work_left -= speed;
+    for (std::size_t i = server.running.size(); i-- > 0;) {
+      if (server.running[i].work_left > 0) continue;
+      const Running done = server.running[i];
+      server.running.erase(server.running.begin() + static_cast<std::ptrdiff_t>(i));
+      End(id, done, now);
+    }
+  }
+}
+
+void OverloadModel::End(const ServerName& id, Running done, TimePoint now) {
+  pool_.OnEnd(id, AttemptEnd::kAnswered, done.sent, now);
+  pool_.OnReport(id, ReportOf(servers_.at(id)), now);
+  const Caller caller = callers_.at(done.caller);
+  callers_.erase(done.caller);
+  KindResult& result = results_[caller.call.urgency];
+  if (now - caller.arrived <= milliseconds(200)) {
+    ++result.in_target;
+  } else {
+    ++result.late;
+  }
+}
+
+void OverloadModel::DrawSpeeds() {
+  std::uniform_real_distribution<double> unit(0, 1);
+  for (auto& [id, server] : servers_) {
+    server.slowness = unit(random_) < kSlowPart ? kSlowFactor : 1;
+  }
+}
+
+void OverloadModel::Refuse(const Caller& caller, TimePoint now) {
+  KindResult& result = results_[caller.call.urgency];
+  ++result.refused;
+  result.slowest_refusal = std::max(result.slowest_refusal, Duration(now - caller.arrived));
+}
+
+LoadReport OverloadModel::ReportOf(const Server& server) const {
+  LoadReport report;
+  report.running =
+      std::min<std::uint32_t>(kSlots, static_cast<std::uint32_t>(server.running.size()));
+  report.waiting = static_cast<std::uint32_t>(server.running.size()) - report.running;
+  report.slots = kSlots;
+  report.slowness = server.slowness;
+  return report;
+}
+
+}  // namespace mulberry::gateway
--- a/tests/gateway/server_pool_test.cc
+++ b/tests/gateway/server_pool_test.cc
@@ -93,7 +93,8 @@
   CHECK(pool.Put(leaving, now));
   CHECK(Chosen() == ServerName("b"));
   pool.SetOut(kThere, true, now);
-  CHECK(std::get<NoChoice>(pool.Choose({kService, kNone, true, false}, now)) == NoChoice::kNoServer);
+  CHECK(std::get<NoChoice>(pool.Choose({kService, kNone, true, false}, now)) ==
+        NoChoice::kNoServer);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a cold server gets this host's share of what it bears and no more") {
