News of both topics is passed on with the last four reads; readers are chosen before they are ready

Change: readers need not be ready; a datagram holds the changes of the last four reads; configurations travel too.

--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -112,7 +112,7 @@
 }
 
 bool FleetView::IsReader(TimePoint now) const {
-  std::vector<Candidate> able = Live(now);
+  std::vector<Candidate> able = Alive(now);
   std::erase_if(able, [](const Candidate& candidate) { return !candidate.store_answers; });
   if (able.empty()) return true;
   if (able.front().is_self) return true;
@@ -132,21 +132,28 @@
   return before < options_.deciders;
 }
 
-std::vector<FleetView::Candidate> FleetView::Live(TimePoint now) const {
-  std::vector<Candidate> live;
-  if (ready_ && !leaving_) {
-    live.push_back({RankOf(options_.self.host), options_.self.data_centre,
-                    options_.self_caller_address, options_.self.peer_address, true, store_answers_,
-                    local_part_});
+std::vector<FleetView::Candidate> FleetView::Alive(TimePoint now) const {
+  std::vector<Candidate> alive;
+  if (!leaving_) {
+    alive.push_back({RankOf(options_.self.host), options_.self.data_centre,
+                     options_.self_caller_address, options_.self.peer_address, true, ready_,
+                     store_answers_, local_part_});
   }
   for (const auto& [name, peer] : peers_) {
     if (!peer.heard || now - peer.last_heard > options_.silent_after) continue;
-    if (peer.beat.leaving || !peer.beat.ready) continue;
-    live.push_back({RankOf(name), peer.beat.record.data_centre, peer.beat.caller_address,
-                    peer.beat.record.peer_address, false, peer.beat.store_answers,
-                    peer.beat.local_part});
+    const HostBeat& beat = peer.beat;
+    if (beat.leaving) continue;
+    alive.push_back({RankOf(name), beat.record.data_centre, beat.caller_address,
+                     beat.record.peer_address, false, beat.ready, beat.store_answers,
+                     beat.local_part});
   }
-  std::sort(live.begin(), live.end());
+  std::sort(alive.begin(), alive.end());
+  return alive;
+}
+
+std::vector<FleetView::Candidate> FleetView::Live(TimePoint now) const {
+  std::vector<Candidate> live = Alive(now);
+  std::erase_if(live, [](const Candidate& candidate) { return !candidate.ready; });
   return live;
 }
 
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -71,8 +71,8 @@
   std::vector<std::string> RemoteDeciders(TimePoint now) const;
   /// What this host says of HostBeat::local_part.
   void SetLocalPart(double part) { local_part_ = part; }
-  /// True when this host reads the store for all: it is one of the first two live hosts in rank
-  /// that the store answers, in two data centres where there are.
+  /// True when this host reads the store for all: it is one of the first two hosts in rank
+  /// that are alive and that the store answers, in two data centres where there are.
   bool IsReader(TimePoint now) const;
   /// True when it would be named also if every registered host were alive.
   bool IsFirstChoice() const;
@@ -91,11 +91,15 @@
     std::string caller_address;
     std::string peer_address;
     bool is_self = false;
+    bool ready = false;
     bool store_answers = false;
     double local_part = 1;
     bool operator<(const Candidate& other) const { return rank < other.rank; }
   };
 
+  /// Hosts that are alive and not leaving, by rank.
+  std::vector<Candidate> Alive(TimePoint now) const;
+  /// Those of them that serve callers.
   std::vector<Candidate> Live(TimePoint now) const;
   std::vector<Candidate> DecidersOf(const DataCentreName& data_centre, TimePoint now) const;
   /// True when the servers of the deciders' data centre can serve its callers.
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -84,9 +84,7 @@
       operator_reader_(
           io, store_, adapter, Topic::kOperator, {.wait = kOperatorWait},
           [this](const TopicRecord& record) { OnOperatorRecord(record); },
-          [this](Offset before) {
-            if (before != operator_reader_.next_offset()) SendBeat();
-          }),
+          [this](Offset before) { OnOperatorRead(before); }),
       server_reader_(
           io, store_, adapter, Topic::kServers, {.interval = ServerInterval(settings)},
           [this](const TopicRecord& record) { OnServerRecord(record); },
@@ -154,6 +152,7 @@
 }
 
 void GatewayNode::OnOperatorRecord(const TopicRecord& record) {
+  operator_changes_.push_back(record);
   auto fact = adapter_.ParseOperatorRecord(record);
   if (!fact) {
     LogEvent(LogLevel::kWarning, "operator_record_unusable",
@@ -198,7 +197,7 @@
   const TimePoint now = MonotonicClock::now();
   const ServerName id(record.key);
   if (!record.value) {
-    changes_.push_back(record);
+    server_changes_.push_back(record);
     if (!pool_.Known(id)) return;
     const bool gone = entries_.OnVanished(id, now);
     LogEvent(LogLevel::kInfo, gone ? "server_gone" : "server_lapsed", {{"server", id.str()}});
@@ -213,7 +212,7 @@
   }
   entries_.OnPresent(id);
   const std::string before = pool_.Describe(id, now);
-  if (pool_.Put(entry.value(), now)) changes_.push_back(record);
+  if (pool_.Put(entry.value(), now)) server_changes_.push_back(record);
   const std::string after = pool_.Describe(id, now);
   if (before != after) {
     LogEvent(LogLevel::kInfo, "server_entry",
@@ -229,27 +228,51 @@
   const TimePoint now = MonotonicClock::now();
   entries_.OnStoreAnswers(now);
   forwarder_.Pump();
-  std::vector<TopicRecord> changes = std::exchange(changes_, {});
+  server_relay_.OnRead(before, server_reader_.next_offset(), std::exchange(server_changes_, {}));
   if (!fleet_.IsReader(now)) return;
   PeerMessage message;
   message.beat = OwnBeat();
-  message.news = ServerNews{before, server_reader_.next_offset(), entries_.UnsettledFor(now),
-                            std::move(changes)};
-  if (peers_.Send(message, AllPeers())) return;
-  // Too much for a datagram: the others see the gap at the next one and read for themselves.
+  message.server_news = server_relay_.News(entries_.UnsettledFor(now));
+  peers_.Send(message, AllPeers());
+}
+
+/// The same for news of operators; what is too large for a datagram is read by each host.
+void GatewayNode::OnOperatorRead(Offset before) {
+  operator_relay_.OnRead(before, operator_reader_.next_offset(),
+                         std::exchange(operator_changes_, {}));
+  const bool is_news = before != operator_reader_.next_offset();
+  if (!is_news || !fleet_.IsReader(MonotonicClock::now())) return;
+  PeerMessage message;
+  message.beat = OwnBeat();
+  message.operator_news = operator_relay_.News(Duration::zero());
+  peers_.Send(message, AllPeers());
 }
 
-void GatewayNode::OnNews(const ServerNews& news, TimePoint now) {
-  news_heard_ = now;
-  if (!server_reader_.complete()) return;
-  entries_.OnUnsettled(news.unsettled, now);
-  server_reader_.OnRelayed(news.from, news.to, news.records);
-  changes_.clear();
+void GatewayNode::OnNews(const PeerMessage& message, TimePoint now) {
+  if (message.server_news) {
+    const TopicNews& news = *message.server_news;
+    news_heard_ = now;
+    if (server_reader_.complete()) {
+      entries_.OnUnsettled(news.unsettled, now);
+      server_reader_.OnRelayed(news.from, news.to, news.records);
+      server_changes_.clear();
+    }
+  }
+  if (message.operator_news && operator_reader_.complete()) {
+    const TopicNews& news = *message.operator_news;
+    operator_reader_.OnRelayed(news.from, news.to, news.records);
+    operator_changes_.clear();
+  }
   forwarder_.Pump();
 }
 
 /// Hosts that hear what others read do not read themselves.
 void GatewayNode::ChooseReaders(TimePoint now) {
+  // A host that has just read everything waits for the news of others first.
+  if (!caught_up_ && server_reader_.complete() && operator_reader_.complete()) {
+    caught_up_ = true;
+    news_heard_ = now;
+  }
   const bool hears = now - news_heard_ < settings_.leaving_bound / 2;
   const bool leaves_reading = hears && !fleet_.IsReader(now);
   server_reader_.SetSuspended(leaves_reading);
@@ -310,7 +333,7 @@
 void GatewayNode::OnPeer(const PeerMessage& message) {
   const TimePoint now = MonotonicClock::now();
   if (!fleet_.OnBeat(message.beat, now)) return;
-  if (message.news) OnNews(*message.news, now);
+  if (message.server_news || message.operator_news) OnNews(message, now);
   for (const SharedLoad& load : message.loads) {
     pool_.OnReport(load.id, load.report, now - load.age);
     if (pool_.IsLocal(load.id)) remote_news_.insert(load.id);
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -14,6 +14,7 @@
 #include "libgateway/gateway_metrics.h"
 #include "libgateway/gateway_settings.h"
 #include "libgateway/load_watch.h"
+#include "libgateway/news_relay.h"
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
 #include "libgateway/question_server.h"
@@ -44,7 +45,8 @@
   void OnServerRecord(const TopicRecord& record);
   void OnHostRecord(const TopicRecord& record);
   void OnServersRead(Offset before);
-  void OnNews(const ServerNews& news, TimePoint now);
+  void OnOperatorRead(Offset before);
+  void OnNews(const PeerMessage& message, TimePoint now);
   void ChooseReaders(TimePoint now);
   void WatchLoad();
   PeerMessage LoadMessage(const std::set<ServerName>& servers, TimePoint now) const;
@@ -92,7 +94,12 @@
   TimePoint stop_began_;
   /// When another host last sent what it has read of the store.
   TimePoint news_heard_;
-  std::vector<TopicRecord> changes_;  ///< Of the read that is being taken.
+  bool caught_up_ = false;
+  /// Records of the reads that are being taken, for the other hosts.
+  std::vector<TopicRecord> server_changes_;
+  std::vector<TopicRecord> operator_changes_;
+  NewsRelay server_relay_;
+  NewsRelay operator_relay_;
   /// Servers whose load the other data centres have not been told yet.
   std::set<ServerName> remote_news_;
   TimePoint remote_told_;
--- /dev/null
+++ b/src/libgateway/news_relay.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <vector>
+
+#include "libgateway/peer_channel.h"
+
+namespace mulberry::gateway {
+
+/// What a host that reads the store tells the others: the changes of its last few reads, so that a
+/// host that missed a datagram, or began to listen between two, need not read the store. Pure. Not
+/// thread safe.
+class NewsRelay {
+ public:
+  /// Takes a read from one offset to another. A read that does not follow the last one (after a gap
+  /// in the topic) starts anew.
+  void OnRead(Offset from, Offset to, std::vector<TopicRecord> changes);
+  /// Returns the changes of the last reads, as many as fit into a datagram.
+  TopicNews News(Duration unsettled) const;
+
+ private:
+  struct Read {
+    Offset from;
+    Offset to;
+    std::vector<TopicRecord> changes;
+    std::size_t bytes = 0;
+  };
+  std::deque<Read> reads_;
+};
+
+}  // namespace mulberry::gateway
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -11,22 +11,22 @@
 
 constexpr double kPercent = 100;
 
-void EncodeNews(const ServerNews& news, wire::ServerNews* out) {
+void EncodeNews(const TopicNews& news, wire::TopicNews* out) {
   out->set_from(news.from.value());
   out->set_to(news.to.value());
   out->set_unsettled_ms(static_cast<std::uint32_t>(ToMilliseconds(news.unsettled)));
   for (const TopicRecord& record : news.records) {
-    wire::ServerNews::Record* added = out->add_records();
+    wire::TopicNews::Record* added = out->add_records();
     added->set_key(record.key);
     added->set_removed(!record.value);
     if (record.value) added->set_value(*record.value);
   }
 }
 
-ServerNews DecodeNews(const wire::ServerNews& in) {
-  ServerNews news{
+TopicNews DecodeNews(const wire::TopicNews& in) {
+  TopicNews news{
       Offset(in.from()), Offset(in.to()), std::chrono::milliseconds(in.unsettled_ms()), {}};
-  for (const wire::ServerNews::Record& record : in.records()) {
+  for (const wire::TopicNews::Record& record : in.records()) {
     std::optional<std::string> value;
     if (!record.removed()) value = record.value();
     news.records.push_back({record.key(), std::move(value)});
@@ -50,7 +50,8 @@
   out.set_operator_offset(beat.operator_offset.value());
   out.set_store_answers(beat.store_answers);
   out.set_local_part_percent(static_cast<std::uint32_t>(std::lround(beat.local_part * kPercent)));
-  if (message.news) EncodeNews(*message.news, out.mutable_news());
+  if (message.server_news) EncodeNews(*message.server_news, out.mutable_server_news());
+  if (message.operator_news) EncodeNews(*message.operator_news, out.mutable_operator_news());
   for (const auto& [server, count] : message.in_flight) {
     wire::InFlight* added = out.add_in_flight();
     added->set_id(server.str());
@@ -85,7 +86,8 @@
   beat.operator_offset = Offset(in.operator_offset());
   beat.store_answers = in.store_answers();
   beat.local_part = in.local_part_percent() / kPercent;
-  if (in.has_news()) message.news = DecodeNews(in.news());
+  if (in.has_server_news()) message.server_news = DecodeNews(in.server_news());
+  if (in.has_operator_news()) message.operator_news = DecodeNews(in.operator_news());
   if (beat.record.host.empty() || !ParseEndpoint(beat.record.peer_address) ||
       !ParseEndpoint(beat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "no host or no address in a datagram");
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -24,8 +24,8 @@
   Duration age{};
 };
 
-/// What another host has read of the servers' topic.
-struct ServerNews {
+/// What another host has read of a topic.
+struct TopicNews {
   Offset from;
   Offset to;
   /// How much longer entries that lapsed during an outage of the store may come back.
@@ -40,7 +40,8 @@
   std::vector<SharedLoad> loads;
   /// Requests that the sender has at servers.
   std::vector<std::pair<ServerName, std::uint32_t>> in_flight;
-  std::optional<ServerNews> news;
+  std::optional<TopicNews> server_news;
+  std::optional<TopicNews> operator_news;
 };
 
 /// Datagrams between entry hosts. Losing one costs nothing, since each carries the whole present
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -115,6 +115,12 @@
     return;
   }
   calling_ = true;
+  LogEvent(LogLevel::kDebug, "store_read",
+           {{"topic", TopicName(topic_)},
+            {"from", follower_.next_offset().value()},
+            {"hurried", hurried_},
+            {"suspended", suspended_},
+            {"failing", failing_}});
   hurried_ = false;
   StoreCall call;
   Duration timeout = kAnswerTimeout;
@@ -148,7 +154,7 @@
     Fail("status " + std::to_string(message.status));
     return;
   }
-  const Offset before = follower_.next_offset();
+  const Offset asked = follower_.next_offset();
   const auto taken = Take(step, message);
   if (!taken) {
     Fail(taken.error().message);
@@ -161,7 +167,8 @@
              {{"topic", TopicName(topic_)}, {"offset", follower_.next_offset().value()}});
   }
   failing_ = false;
-  updated_(before);
+  const bool is_newest = std::holds_alternative<FollowNewest>(step);
+  updated_(is_newest ? follower_.next_offset() : asked);
 }
 
 Result<void> StoreReader::Take(const FollowStep& step, const HttpMessage& answer) {
--- a/src/libgateway/store_reader.h
+++ b/src/libgateway/store_reader.h
@@ -40,7 +40,7 @@
 /// io_context.
 class StoreReader {
  public:
-  /// Called after each successful read, with the offset before it.
+  /// Called after each successful read, with the offset from which on its records are all known.
   using Updated = std::function<void(Offset before)>;
 
   StoreReader(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter, Topic topic,
--- a/src/libgateway/topic_follower.cc
+++ b/src/libgateway/topic_follower.cc
@@ -33,6 +33,7 @@
   known_ = std::exchange(seen_, {});
   newest_done_ = true;
   complete_ = true;
+  pause_ = options_.interval;
 }
 
 void TopicFollower::OnRecords(const RecordPage& page) {
--- a/tests/gateway/topic_follower_test.cc
+++ b/tests/gateway/topic_follower_test.cc
@@ -32,6 +32,8 @@
   CHECK_FALSE(follower.complete());
   follower.OnNewest({{Put("b", "1")}, false, Offset(9)});
   CHECK(follower.complete());
+  CHECK(std::holds_alternative<FollowPause>(follower.Next()));
+  follower.OnPauseOver();
   CHECK(std::get<FollowRecords>(follower.Next()).from == Offset(5));
   follower.OnRecords({{Put("a", "2"), Removed("b")}, Offset(7)});
   CHECK(state == std::map<std::string, std::string>{{"a", "2"}});
@@ -47,6 +49,7 @@
   CHECK(std::holds_alternative<FollowNewest>(follower.Next()));
   follower.OnNewest({{Put("b", "2")}, false, Offset(40)});
   CHECK(state == std::map<std::string, std::string>{{"b", "2"}});
+  follower.OnPauseOver();
   CHECK(std::get<FollowRecords>(follower.Next()).from == Offset(40));
 }
 
