--- /dev/null
+++ b/tests/gateway/fake_adapter.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libgateway/http_message.h"
+#include "libgateway/platform_adapter.h"
+
+namespace mulberry::gateway {
+
+/// An adapter for a made-up platform with short header names. Its store is not called.
+class FakeAdapter : public PlatformAdapter {
+ public:
+  const HeaderNames& headers() const override { return names_; }
+  StoreCall ReadNewest(Topic, const std::string&) const override { return {}; }
+  StoreCall ReadRecords(Topic, Offset, Duration) const override { return {}; }
+  StoreCall PutHost(const HostRecord&) const override { return {}; }
+  Result<NewestPage> ParseNewest(std::string_view) const override { return NewestPage(); }
+  Result<RecordPage> ParseRecords(std::string_view, Offset from) const override {
+    return RecordPage{{}, from};
+  }
+  bool IsExpired(int) const override { return false; }
+  Result<OperatorFact> ParseOperatorRecord(const TopicRecord&) const override {
+    return OperatorFact(UnknownFact());
+  }
+  Result<ServerEntry> ParseServer(const TopicRecord&) const override { return ServerEntry(); }
+  Result<HostRecord> ParseHost(const TopicRecord&) const override { return HostRecord(); }
+  std::optional<LoadReport> ParseLoad(std::string_view) const override { return std::nullopt; }
+  HealthReport ParseHealth(int, const HeaderList&) const override { return {}; }
+  bool IsMisdirected(int status) const override { return status == 421; }
+  bool IsReadyQuestion(std::string_view) const override { return false; }
+  std::optional<AddressQuestion> ParseAddressQuestion(std::string_view) const override {
+    return std::nullopt;
+  }
+  std::string WriteAddresses(const std::vector<std::string>&, Duration) const override {
+    return "";
+  }
+
+ private:
+  HeaderNames names_{.request_id = "Id",
+                     .time_left = "Left",
+                     .target_server = "Target",
+                     .not_run = "Not-Run",
+                     .server_signature = "Signature",
+                     .load = "Load"};
+};
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/tests/gateway/test_caller.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <cstdint>
+#include <string>
+
+namespace mulberry::gateway {
+
+/// Returns a port of loopback that is free now.
+inline std::uint16_t FreePort(asio::io_context& io) {
+  const asio::ip::tcp::acceptor probe(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  return probe.local_endpoint().port();
+}
+
+/// A caller's connection whose bytes a test writes and reads.
+class TestCaller {
+ public:
+  explicit TestCaller(asio::io_context& io) : socket_(io), buffer_(64 * 1024, 0) {}
+
+  void Connect(std::uint16_t port) {
+    socket_.connect({asio::ip::make_address_v4("127.0.0.1"), port});
+    Read();
+  }
+  void Write(const std::string& bytes) {
+    asio::error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+  }
+  void Close() {
+    asio::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  std::string received;
+  bool ended = false;
+
+ private:
+  void Read() {
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [this](const asio::error_code& error, std::size_t bytes) {
+                              if (error) {
+                                ended = true;
+                                return;
+                              }
+                              received.append(buffer_.data(), bytes);
+                              Read();
+                            });
+  }
+
+  asio::ip::tcp::socket socket_;
+  std::string buffer_;
+};
+
+}  // namespace mulberry::gateway
