Hosts named to callers: more capacity first, as many as the request rate asks for

Cause: two hosts a data centre, drawn by hash, could be hosts of a tenth of a core or 10 Mbit/s, and carry a rate that grows with the deployment. Change: hosts state a capacity from their settings (processor, link); rank by it, then by hash; beats carry the request rate, and the first hosts whose capacity covers it are named, two at least.

--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -125,9 +125,10 @@
 
 bool FleetView::IsFirstChoice() const {
   std::uint32_t before = 0;
-  const std::uint64_t own = RankOf(options_.self.host);
+  const Rank own = RankOf(options_.self);
   for (const auto& [name, peer] : peers_) {
-    if (peer.beat.record.data_centre == options_.self.data_centre && RankOf(name) < own) ++before;
+    if (peer.beat.record.data_centre == options_.self.data_centre && RankOf(peer.beat.record) < own)
+      ++before;
   }
   return before < options_.deciders;
 }
@@ -135,17 +136,17 @@
 std::vector<FleetView::Candidate> FleetView::Alive(TimePoint now) const {
   std::vector<Candidate> alive;
   if (!leaving_) {
-    alive.push_back({RankOf(options_.self.host), options_.self.data_centre,
-                     options_.self_caller_address, options_.self.peer_address, true, ready_,
-                     store_answers_, local_part_});
+    alive.push_back({RankOf(options_.self), options_.self.data_centre, options_.self_caller_address,
+                     options_.self.peer_address, true, ready_, store_answers_, local_part_,
+                     request_rate_});
   }
   for (const auto& [name, peer] : peers_) {
     if (!peer.heard || now - peer.last_heard > options_.silent_after) continue;
     const HostBeat& beat = peer.beat;
     if (beat.leaving) continue;
-    alive.push_back({RankOf(name), beat.record.data_centre, beat.caller_address,
+    alive.push_back({RankOf(beat.record), beat.record.data_centre, beat.caller_address,
                      beat.record.peer_address, false, beat.ready, beat.store_answers,
-                     beat.local_part});
+                     beat.local_part, beat.request_rate});
   }
   std::sort(alive.begin(), alive.end());
   return alive;
@@ -162,10 +163,20 @@
   std::vector<Candidate> live = Live(now);
   std::erase_if(live,
                 [&](const Candidate& candidate) { return candidate.data_centre != data_centre; });
-  if (live.size() > options_.deciders) live.resize(options_.deciders);
+  double rate = 0;
+  for (const Candidate& candidate : live) rate += candidate.request_rate;
+  std::size_t count = 0;
+  double capacity = 0;
+  while (count < live.size() && (count < options_.deciders || capacity < rate)) {
+    capacity -= live[count].rank.first;
+    ++count;
+  }
+  live.resize(count);
   return live;
 }
 
-std::uint64_t FleetView::RankOf(const HostName& host) { return StableHash(host.str(), kRankSeed); }
+FleetView::Rank FleetView::RankOf(const HostRecord& record) {
+  return {-record.capacity, StableHash(record.host.str(), kRankSeed)};
+}
 
 }  // namespace mulberry::gateway
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libgateway/types.h"
@@ -23,6 +24,8 @@
   bool store_answers = false;
   /// Part of the servers of the host's data centre that take requests, as the host sees it.
   double local_part = 1;
+  /// Requests a second that the host has taken lately.
+  double request_rate = 0;
 };
 
 /// A host's place among those named to the callers of its data centre.
@@ -34,7 +37,8 @@
 struct FleetOptions {
   HostRecord self;
   std::string self_caller_address;
-  /// Hosts a data centre that are named to callers.
+  /// Hosts a data centre that are named to callers at least; more when its request rate asks for
+  /// more capacity.
   std::uint32_t deciders = 2;
   /// A host that has been silent for this long is not named to callers.
   Duration silent_after = std::chrono::milliseconds(1600);
@@ -71,6 +75,8 @@
   std::vector<std::string> RemoteDeciders(TimePoint now) const;
   /// What this host says of HostBeat::local_part.
   void SetLocalPart(double part) { local_part_ = part; }
+  /// What this host says of HostBeat::request_rate.
+  void SetRequestRate(double rate) { request_rate_ = rate; }
   /// True when this host reads the store for all: it is one of the first two hosts in rank
   /// that are alive and that the store answers, in two data centres where there are.
   bool IsReader(TimePoint now) const;
@@ -85,8 +91,11 @@
     /// The start before the present one; its late datagrams are ignored.
     StartId former_start;
   };
+  /// Hosts of more capacity come first, those of the same in the order of a hash.
+  using Rank = std::pair<double, std::uint64_t>;
+
   struct Candidate {
-    std::uint64_t rank = 0;
+    Rank rank;
     DataCentreName data_centre;
     std::string caller_address;
     std::string peer_address;
@@ -94,6 +103,7 @@
     bool ready = false;
     bool store_answers = false;
     double local_part = 1;
+    double request_rate = 0;
     bool operator<(const Candidate& other) const { return rank < other.rank; }
   };
 
@@ -104,13 +114,14 @@
   std::vector<Candidate> DecidersOf(const DataCentreName& data_centre, TimePoint now) const;
   /// True when the servers of the deciders' data centre can serve its callers.
   static bool CanServe(const std::vector<Candidate>& deciders);
-  static std::uint64_t RankOf(const HostName& host);
+  static Rank RankOf(const HostRecord& record);
 
   FleetOptions options_;
   bool ready_ = false;
   bool leaving_ = false;
   bool store_answers_ = false;
   double local_part_ = 1;
+  double request_rate_ = 0;
   std::map<HostName, Peer> peers_;
 };
 
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -53,6 +53,8 @@
   /// Tries the waiting calls again, after something has changed for the better.
   void Pump();
   void Sweep(TimePoint now);
+  /// Requests that were taken since the start.
+  std::uint64_t requests() const { return next_call_ - 1; }
   std::size_t calls() const { return calls_.size(); }
 
   /// Reports that came with answers since the last call, for other hosts.
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace mulberry::gateway {
@@ -30,6 +31,12 @@
 /// Hosts of a data centre that are named to callers: with fewer, a lost one leaves none for a
 /// while; with more, each hears less of the servers' load.
 constexpr std::uint32_t kDeciders = 2;
+/// Requests a second that a host serves at some 30 % of its processor and of its link, from
+/// docs/measurements.md: 0.4 ms a request, and 10 KB in and out.
+constexpr double kRequestsPerCore = 700;
+constexpr double kRequestsPerMegabit = 4;
+/// Weight of the newest measurement of the request rate, so that a short burst changes little.
+constexpr double kRateSmoothing = 0.1;
 /// The list of hosts changes rarely, and beats tell of new ones.
 constexpr Duration kHostInterval = std::chrono::seconds(60);
 constexpr Duration kAnnouncePause = std::chrono::milliseconds(500);
@@ -48,10 +55,18 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 
+HostRecord RecordOf(const GatewaySettings& settings) {
+  HostRecord record{settings.host, settings.data_centre,
+                    settings.ip + ":" + std::to_string(settings.peer_port)};
+  // Whole numbers, so that rounding on the way does not change the order of hosts.
+  record.capacity = std::floor(std::min(settings.processor_share * kRequestsPerCore,
+                                        settings.link_mbps * kRequestsPerMegabit));
+  return record;
+}
+
 FleetOptions FleetOptionsOf(const GatewaySettings& settings) {
   FleetOptions options;
-  options.self = {settings.host, settings.data_centre,
-                  settings.ip + ":" + std::to_string(settings.peer_port)};
+  options.self = RecordOf(settings);
   options.self_caller_address = settings.callers;
   options.deciders = kDeciders;
   return options;
@@ -134,21 +149,20 @@
 /// Writes this host into the list of hosts, then reads the list: of two hosts that start at the
 /// same time, the one that reads later sees the other.
 void GatewayNode::Announce() {
-  const HostRecord self{settings_.host, settings_.data_centre,
-                        settings_.ip + ":" + std::to_string(settings_.peer_port)};
-  store_.Call(adapter_.PutHost(self), kAnnounceTimeout, [this](const Result<HttpMessage>& answer) {
-    if (answer && answer.value().status == kStatusOk) {
-      host_reader_.Start();
-      return;
-    }
-    LogEvent(LogLevel::kWarning, "announce_failed",
-             {{"error", answer ? "status " + std::to_string(answer.value().status)
-                               : answer.error().message}});
-    announce_timer_.expires_after(kAnnouncePause);
-    announce_timer_.async_wait([this](const asio::error_code& error) {
-      if (!error) Announce();
-    });
-  });
+  store_.Call(adapter_.PutHost(RecordOf(settings_)), kAnnounceTimeout,
+              [this](const Result<HttpMessage>& answer) {
+                if (answer && answer.value().status == kStatusOk) {
+                  host_reader_.Start();
+                  return;
+                }
+                LogEvent(LogLevel::kWarning, "announce_failed",
+                         {{"error", answer ? "status " + std::to_string(answer.value().status)
+                                           : answer.error().message}});
+                announce_timer_.expires_after(kAnnouncePause);
+                announce_timer_.async_wait([this](const asio::error_code& error) {
+                  if (!error) Announce();
+                });
+              });
 }
 
 void GatewayNode::OnOperatorRecord(const TopicRecord& record) {
@@ -351,8 +365,8 @@
 
 HostBeat GatewayNode::OwnBeat() const {
   HostBeat beat;
-  beat.record = {settings_.host, settings_.data_centre,
-                 settings_.ip + ":" + std::to_string(settings_.peer_port)};
+  beat.record = RecordOf(settings_);
+  beat.request_rate = request_rate_;
   beat.start = start_;
   beat.caller_address = settings_.callers;
   beat.leaving = stopping_;
@@ -370,6 +384,17 @@
   return addresses;
 }
 
+void GatewayNode::MeasureRate(TimePoint now) {
+  const double seconds = std::chrono::duration<double>(now - counted_at_).count();
+  const std::uint64_t requests = forwarder_.requests();
+  if (seconds <= 0) return;
+  const double rate = static_cast<double>(requests - counted_requests_) / seconds;
+  request_rate_ += kRateSmoothing * (rate - request_rate_);
+  counted_requests_ = requests;
+  counted_at_ = now;
+  fleet_.SetRequestRate(request_rate_);
+}
+
 void GatewayNode::SendBeat() {
   PeerMessage message;
   message.beat = OwnBeat();
@@ -425,6 +450,7 @@
     LogEvent(LogLevel::kInfo, "server_gone", {{"server", id.str()}, {"after", "store_return"}});
     pool_.Remove(id);
   }
+  MeasureRate(now);
   UpdateShares(now);
   ChooseReaders(now);
   if (Ready() != was_ready_) {
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -51,6 +51,7 @@
   void WatchLoad();
   PeerMessage LoadMessage(const std::set<ServerName>& servers, TimePoint now) const;
   HostBeat OwnBeat() const;
+  void MeasureRate(TimePoint now);
   std::vector<std::string> AllPeers() const;
   QuestionAnswer AnswerReadiness(const HttpMessage& question) const;
   QuestionAnswer AnswerAddresses(const HttpMessage& question) const;
@@ -95,6 +96,9 @@
   /// When another host last sent what it has read of the store.
   TimePoint news_heard_;
   bool caught_up_ = false;
+  double request_rate_ = 0;  ///< Requests a second, smoothed.
+  std::uint64_t counted_requests_ = 0;
+  TimePoint counted_at_;
   /// Records of the reads that are being taken, for the other hosts.
   std::vector<TopicRecord> server_changes_;
   std::vector<TopicRecord> operator_changes_;
--- a/src/libgateway/gateway_settings.cc
+++ b/src/libgateway/gateway_settings.cc
@@ -16,6 +16,7 @@
       {"host", "data_centre", kRequired, ItemName(&s->data_centre)},
       {"host", "ip", kRequired, IpNumber(&s->ip)},
       {"host", "processor_share", false, Fraction(0.001, 1024, "cores", &s->processor_share)},
+      {"host", "link_mbps", false, Fraction(0.01, 1e6, "megabits a second", &s->link_mbps)},
       {"listen", "callers", kRequired, Address(&s->callers)},
       {"listen", "readiness", kRequired, Address(&s->readiness)},
       {"listen", "directory", kRequired, Address(&s->directory)},
--- a/src/libgateway/gateway_settings.h
+++ b/src/libgateway/gateway_settings.h
@@ -16,6 +16,7 @@
   std::string ip;
   /// Processor of this host, in cores.
   double processor_share = 1;
+  double link_mbps = 1000;  ///< Bandwidth of this host's link, in megabits a second.
   // [listen]
   std::string callers;  ///< "ip:port" of each.
   std::string readiness;
--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -44,7 +44,7 @@
 }
 
 const http_parser_settings& HttpReader::Callbacks() {
-  static const http_parser_settings kCallbacks = [] {
+  static const http_parser_settings callbacks = [] {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
     settings.on_message_begin = &OnBegin;
@@ -57,7 +57,7 @@
     settings.on_message_complete = &OnComplete;
     return settings;
   }();
-  return kCallbacks;
+  return callbacks;
 }
 
 bool HttpReader::HasFoldedLine(std::string_view bytes) {
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -49,6 +49,8 @@
   out.set_config_version(beat.version.value());
   out.set_operator_offset(beat.operator_offset.value());
   out.set_store_answers(beat.store_answers);
+  out.set_capacity(static_cast<float>(beat.record.capacity));
+  out.set_request_rate(static_cast<float>(beat.request_rate));
   out.set_local_part_percent(static_cast<std::uint32_t>(std::lround(beat.local_part * kPercent)));
   if (message.server_news) EncodeNews(*message.server_news, out.mutable_server_news());
   if (message.operator_news) EncodeNews(*message.operator_news, out.mutable_operator_news());
@@ -85,6 +87,8 @@
   beat.version = ConfigVersion(in.config_version());
   beat.operator_offset = Offset(in.operator_offset());
   beat.store_answers = in.store_answers();
+  beat.record.capacity = in.capacity();
+  beat.request_rate = in.request_rate();
   beat.local_part = in.local_part_percent() / kPercent;
   if (in.has_server_news()) message.server_news = DecodeNews(in.server_news());
   if (in.has_operator_news()) message.operator_news = DecodeNews(in.operator_news());
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -118,6 +118,8 @@
   HostName host;
   DataCentreName data_centre;
   std::string peer_address;  ///< "ip:port" of its datagram socket.
+  /// Requests a second that it serves with ease.
+  double capacity = 100;
 };
 
 }  // namespace mulberry::gateway
--- a/tests/gateway/fleet_view_test.cc
+++ b/tests/gateway/fleet_view_test.cc
@@ -71,6 +71,24 @@
   CHECK(views[0].AddressesFor(DataCentreName("elsewhere"), now).size() == 6);
 }
 
+TEST_CASE_FIXTURE(Fixture,
+                  "hosts of more capacity come first, and more of them when the rate asks "
+                  "for it") {
+  const DataCentreName name("d0");
+  HostBeat strong = Beat(records[3]);
+  strong.record.capacity = 500;
+  views[8].OnBeat(strong, now);
+  CHECK(views[8].AddressesFor(name, now).front() == CallerAddress(records[3]));
+  CHECK(views[8].AddressesFor(name, now).size() == 2);
+  for (std::size_t i = 0; i < 3; ++i) {
+    HostBeat busy = Beat(records[i]);
+    busy.request_rate = 220;
+    views[8].OnBeat(busy, now);
+  }
+  // 660 requests a second need the strong host and two usual ones.
+  CHECK(views[8].AddressesFor(name, now).size() == 3);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a silent host is named no longer, and another takes its place") {
   const DataCentreName name("d1");
   const auto before = views[0].AddressesFor(name, now);
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -143,6 +143,22 @@
   CHECK(health.load->slowness == 5);
 }
 
+TEST_CASE("a host's record comes back as it was written") {
+  const auto adapter = MakeAdapter();
+  gateway::HostRecord record{HostName("h-1"), DataCentreName("z"), "10.0.0.1:7720"};
+  record.capacity = 140;
+  const auto call = adapter->PutHost(record);
+  const auto page = DecodeRecords(std::string(16, '\0') + call.body, Offset(0));
+  REQUIRE(page.value().records.size() == 1);
+  const auto host = adapter->ParseHost(page.value().records[0]);
+  REQUIRE(host);
+  CHECK(host.value().host == record.host);
+  CHECK(host.value().data_centre == record.data_centre);
+  CHECK(host.value().peer_address == record.peer_address);
+  CHECK(host.value().capacity == 140);
+  CHECK_FALSE(adapter->ParseHost({"h", "{}"}).has_value());
+}
+
 TEST_CASE("questions of the platform and answers to them") {
   const auto adapter = MakeAdapter();
   CHECK(adapter->IsReadyQuestion("/readiness"));
