--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -141,6 +141,14 @@
   DropIfDone(id);
 }
 
+/// True when a server that gets the call now would hardly answer in time.
+bool Forwarder::IsTooLate(const Call& call, TimePoint now) const {
+  const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
+  const auto least =
+      Duration(static_cast<std::int64_t>(static_cast<double>(usual.count()) * kLeastTimePart));
+  return now + least > call.deadline;
+}
+
 void Forwarder::TryPlace(Call& call, bool hedge, TimePoint now) {
   const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
   const auto least =
@@ -367,6 +375,11 @@
     case NextStep::kWait:
       return;
     case NextStep::kRetry:
+      // A server's own failure says more than one of this host.
+      if (end == AttemptEnd::kServerFailure && IsTooLate(call, now)) {
+        Relay(call, message, attempt, now);
+        return;
+      }
       if (retry_windows_.at(call.service).Take(false, now)) {
         parts_.metrics.OnRetry(AttemptEndName(end));
         TryPlace(call, false, now);
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -88,6 +88,7 @@
   };
   Call* Find(CallId id);
   bool Admit(Call& call);
+  bool IsTooLate(const Call& call, TimePoint now) const;
   void TryPlace(Call& call, bool hedge, TimePoint now);
   void Enqueue(Call& call, NoChoice reason, TimePoint now);
   void Dequeue(Call& call);
--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -231,6 +231,15 @@
   CHECK(forwarder.calls() == 0);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a server's failure is passed on when no time is left for another try") {
+  Ask("GET", "/read/1", "Left: 40\r\n");
+  const auto at = NextAtServer();
+  RunFor(io, milliseconds(30));
+  at->Write(Answer(504, "over"));
+  WaitReceived("over");
+  CHECK(caller.received.find("Signature: s1") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(Fixture, "an unknown path is 404, and a request without a host is 400") {
   SUBCASE("path") {
     Ask("GET", "/elsewhere/1");
