--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -127,8 +127,8 @@
   std::uint32_t before = 0;
   const Rank own = RankOf(options_.self);
   for (const auto& [name, peer] : peers_) {
-    if (peer.beat.record.data_centre == options_.self.data_centre && RankOf(peer.beat.record) < own)
-      ++before;
+    const HostRecord& record = peer.beat.record;
+    if (record.data_centre == options_.self.data_centre && RankOf(record) < own) ++before;
   }
   return before < options_.deciders;
 }
