A space before a header's colon is refused by the callers' server too; refusals counter ends in _total

Cause: http_parser takes 'Content-Length : 3' for a length and keeps the space in the name, which another hop reads differently.

--- a/src/libtransport/http_server.cc
+++ b/src/libtransport/http_server.cc
@@ -157,6 +157,13 @@
   return result;
 }
 
+/// False for a name with a space or a tab: the next hop may read "Content-Length : 3" as a length.
+bool HasCleanNames(const ServerRequest& request) {
+  return std::none_of(request.headers.begin(), request.headers.end(), [](const auto& header) {
+    return header.first.empty() || header.first.find_first_of(" \t") != std::string::npos;
+  });
+}
+
 const char* ReasonPhrase(int status) {
   switch (status) {
     case 200:
@@ -339,6 +346,12 @@
     const bool upgrade =
         request->header().connection() == restinio::http_connection_header_t::upgrade;
     auto responder = std::make_shared<Responder>(std::move(request), connections);
+    if (!HasCleanNames(plain)) {
+      ++connections->counters().malformed;
+      responder->Send(
+          {.status = 400, .content_type = "", .headers = {}, .body = "", .close = true});
+      return restinio::request_accepted();
+    }
     if (upgrade) {
       ++connections->counters().malformed;
       responder->Send(
--- a/src/mulberryd/metrics_observer.cc
+++ b/src/mulberryd/metrics_observer.cc
@@ -111,7 +111,7 @@
       {"too_large", server->too_large},
       {"slow", server->slow}};
   for (const auto& [reason, count] : refused) {
-    Gauge("mulberry_input_refusals", "Connections and requests refused before they were read",
+    Gauge("mulberry_input_refusals_total", "Connections and requests refused before they were read",
           static_cast<double>(count), {{"reason", reason}});
   }
 }
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -157,6 +157,13 @@
     CHECK(caller.IsClosed());
     CHECK(counters.malformed == 1);
   }
+  SUBCASE("space before a header's colon") {
+    RawCaller caller(echo.io, echo.server.port());
+    caller.Write("GET / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc");
+    CHECK(caller.Reads("HTTP/1.1 400"));
+    CHECK(caller.IsClosed());
+    CHECK(counters.malformed == 1);
+  }
   SUBCASE("malformed after a request in progress: no answer that could be taken for its own") {
     RawCaller caller(echo.io, echo.server.port());
     caller.Write("GET /held HTTP/1.1\r\n\r\nGARBAGE\r\n\r\n");
