--- a/src/libgateway/entry_keeper.cc
+++ b/src/libgateway/entry_keeper.cc
@@ -15,6 +15,9 @@
 }
 
 void EntryKeeper::OnUnsettled(Duration left, TimePoint now) {
+  // The store has answered this host (or the readers that it hears) all the while, so that the
+  // other host was cut off alone, and what has vanished meanwhile is gone.
+  if (Settled(now)) return;
   away_ = false;
   back_until_ = std::max(back_until_, now + std::min(left, return_time_));
 }
--- a/tests/gateway/entry_keeper_test.cc
+++ b/tests/gateway/entry_keeper_test.cc
@@ -42,6 +42,21 @@
   }
 }
 
+// fleetbench hunt huon-drylog, deploy/days/server_cuts.toml --vary --seed 15566939539, DRAIN: a
+// reader that had been cut off from the store alone made all others wait for entries that were gone
+// for good.
+TEST_CASE_FIXTURE(Fixture, "another host's outage is not believed by one that the store answered") {
+  keeper.OnUnsettled(milliseconds(2000), now);
+  CHECK(keeper.OnVanished(kServer, now));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a host that lost the store too waits as long as another one") {
+  keeper.OnStoreLost();
+  keeper.OnUnsettled(milliseconds(2000), now);
+  CHECK_FALSE(keeper.OnVanished(kServer, now));
+  CHECK(keeper.TakeGone(now + milliseconds(2100)) == std::vector{kServer});
+}
+
 // fleetbench huon-drylog scale-2, DRAIN: two readers of the store renewed each other's window.
 TEST_CASE("hosts that tell each other of an outage settle in the time that one of them needs") {
   TimePoint now = TimePoint(seconds(100));
