--- a/src/libbase/log.cc
+++ b/src/libbase/log.cc
@@ -106,6 +106,8 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+void SetLogLevel(LogLevel least) { spdlog::default_logger_raw()->set_level(ToSpdlog(least)); }
+
 bool ParseLogLevel(std::string_view text, LogLevel* level) {
   if (text == "debug") {
     *level = LogLevel::kDebug;
--- a/src/libbase/log.h
+++ b/src/libbase/log.h
@@ -37,6 +37,9 @@
 /// Precondition: called once, before other threads log.
 void ConfigureLog(LogLevel least, std::string_view process, LogOutput output = LogOutput::kStderr);
 
+/// Changes the least severity that is written. Thread safety: any thread.
+void SetLogLevel(LogLevel least);
+
 /// Writes what is buffered as far as the reader takes it. Lines beyond the buffer's size are
 /// dropped, and a later line says how many. Thread safety: any thread.
 void FlushLog();
--- /dev/null
+++ b/src/libgateway/exchange_format.cc
@@ -0,0 +1,89 @@
+#include "libgateway/exchange_format.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace mulberry::gateway {
+namespace {
+
+/// Room for the usual headers, so that a message is built without copies.
+constexpr std::size_t kHeadBytes = 512;
+
+const char* ReasonPhrase(int status) {
+  switch (status) {
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Bad Gateway";
+  }
+}
+
+/// Returns the header names that a message's Connection header lists.
+std::string_view NamedByConnection(const HttpMessage& message) {
+  const std::string* connection = FindHeader(message.headers, "connection");
+  return connection == nullptr ? std::string_view() : *connection;
+}
+
+}  // namespace
+
+std::string WriteServerRequest(const HttpMessage& request, const HeaderNames& names,
+                               const ServerName& target, Duration left) {
+  const std::string_view named = NamedByConnection(request);
+  std::string bytes;
+  bytes.reserve(kHeadBytes + request.body.size());
+  bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  for (const auto& [name, value] : request.headers) {
+    if (IsConnectionHeader(name, named) || EqualsIgnoreCase(name, "content-length") ||
+        EqualsIgnoreCase(name, "expect") || EqualsIgnoreCase(name, names.time_left) ||
+        EqualsIgnoreCase(name, names.target_server)) {
+      continue;
+    }
+    AppendHeader(bytes, name, value);
+  }
+  AppendHeader(bytes, names.time_left,
+               std::to_string(std::max<std::int64_t>(1, ToMilliseconds(left))));
+  AppendHeader(bytes, names.target_server, target.str());
+  const bool states_length = !request.body.empty() ||
+                             FindHeader(request.headers, "content-length") != nullptr ||
+                             FindHeader(request.headers, "transfer-encoding") != nullptr;
+  if (states_length) {
+    AppendHeader(bytes, "Content-Length", std::to_string(request.body.size()));
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  return bytes;
+}
+
+std::string WriteRelayedHead(const HttpMessage& message, const HeaderNames& names, bool is_head) {
+  const std::string_view named = NamedByConnection(message);
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", message.status, message.reason);
+  head.reserve(kHeadBytes + message.body.size());
+  for (const auto& [name, value] : message.headers) {
+    if (IsConnectionHeader(name, named)) continue;
+    if (!is_head && EqualsIgnoreCase(name, "content-length")) continue;
+    if (EqualsIgnoreCase(name, names.load)) continue;
+    AppendHeader(head, name, value);
+  }
+  return head;
+}
+
+std::string WriteOwnHead(int status, std::optional<Duration> retry_after,
+                         const std::string& request_id, const HeaderNames& names) {
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
+  if (retry_after) {
+    AppendHeader(head, "Retry-After",
+                 fmt::format("{:.3f}", std::chrono::duration<double>(*retry_after).count()));
+  }
+  if (!request_id.empty()) AppendHeader(head, names.request_id, request_id);
+  return head;
+}
+
+}  // namespace mulberry::gateway
--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -1,15 +1,20 @@
 #include "libgateway/fleet_view.h"
 
 #include <algorithm>
-#include <set>
 
 namespace mulberry::gateway {
 namespace {
 
 /// Seed of the rank, so that it differs from other uses of the hash.
 constexpr std::uint64_t kRankSeed = 0x6d756c;
-/// With fewer servers taking requests, those of a data centre can't bear its callers.
+/// With fewer servers taking requests, those of a data centre can't bear its
+/// callers.
 constexpr double kLeastLocalPart = 0.3;
+/// Hosts next in rank that are known elsewhere before they are needed there.
+constexpr std::size_t kSpareSpeakers = 2;
+/// Hosts of a data centre from which on a reader of its own (1.6 calls of the store a second) costs
+/// less than the news of readers elsewhere; see docs/CAPACITY.md.
+constexpr std::size_t kLargeDataCentre = 12;
 
 }  // namespace
 
@@ -29,6 +34,7 @@
   if (peer.heard && beat.start == peer.former_start) return false;
   if (peer.heard && beat.start != peer.beat.start) peer.former_start = peer.beat.start;
   peer.beat = beat;
+  peer.frequent = peer.heard && now - peer.last_heard < options_.silent_after / 2;
   peer.heard = true;
   peer.last_heard = now;
   return true;
@@ -40,13 +46,6 @@
   leaving_ = leaving;
 }
 
-std::vector<HostRecord> FleetView::Others() const {
-  std::vector<HostRecord> others;
-  others.reserve(peers_.size());
-  for (const auto& [name, peer] : peers_) others.push_back(peer.beat.record);
-  return others;
-}
-
 std::size_t FleetView::HostsOfDataCentre() const {
   const auto others = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) {
     return entry.second.beat.record.data_centre == options_.self.data_centre;
@@ -111,11 +110,49 @@
   });
 }
 
+std::set<DataCentreName> FleetView::LargeDataCentres() const {
+  std::map<DataCentreName, std::size_t> hosts;
+  ++hosts[options_.self.data_centre];
+  for (const auto& [name, peer] : peers_) ++hosts[peer.beat.record.data_centre];
+  std::set<DataCentreName> large;
+  for (const auto& [name, count] : hosts) {
+    if (count >= kLargeDataCentre) large.insert(name);
+  }
+  return large;
+}
+
+std::vector<FleetView::Candidate> FleetView::ReadingGroup(TimePoint now) const {
+  const std::set<DataCentreName> large = LargeDataCentres();
+  const bool own = large.contains(options_.self.data_centre);
+  std::vector<Candidate> group = Alive(now);
+  std::erase_if(group, [&](const Candidate& candidate) {
+    return own ? candidate.data_centre != options_.self.data_centre
+               : large.contains(candidate.data_centre);
+  });
+  return group;
+}
+
+std::vector<std::string> FleetView::NewsTargets() const {
+  const std::set<DataCentreName> large = LargeDataCentres();
+  const bool own = large.contains(options_.self.data_centre);
+  std::vector<std::string> addresses;
+  for (const auto& [name, peer] : peers_) {
+    const HostRecord& record = peer.beat.record;
+    const bool in_group =
+        own ? record.data_centre == options_.self.data_centre : !large.contains(record.data_centre);
+    if (in_group) addresses.push_back(record.peer_address);
+  }
+  return addresses;
+}
+
 bool FleetView::IsReader(TimePoint now) const {
-  std::vector<Candidate> able = Alive(now);
-  std::erase_if(able, [](const Candidate& candidate) { return !candidate.store_answers; });
+  std::vector<Candidate> able = ReadingGroup(now);
+  if (!StoreIsAway(now)) {
+    std::erase_if(able, [](const Candidate& candidate) { return !candidate.store_answers; });
+  }
   if (able.empty()) return true;
   if (able.front().is_self) return true;
+  if (LargeDataCentres().contains(options_.self.data_centre)) return false;
   const auto second = std::find_if(able.begin(), able.end(), [&](const Candidate& candidate) {
     return candidate.data_centre != able.front().data_centre;
   });
@@ -123,6 +160,42 @@
   return able.size() > 1 && able[1].is_self;
 }
 
+bool FleetView::StoreIsAway(TimePoint now) const {
+  const std::vector<Candidate> group = ReadingGroup(now);
+  return std::none_of(group.begin(), group.end(),
+                      [](const Candidate& candidate) { return candidate.store_answers; });
+}
+
+std::set<HostName> FleetView::SpeakersOf(const DataCentreName& data_centre, TimePoint now) const {
+  const std::size_t count = DecidersOf(data_centre, now).size() + kSpareSpeakers;
+  std::set<HostName> speakers;
+  for (const Candidate& candidate : Alive(now)) {
+    if (speakers.size() == count) break;
+    if (candidate.data_centre == data_centre) speakers.insert(candidate.host);
+  }
+  return speakers;
+}
+
+std::vector<std::string> FleetView::BeatTargets(BeatReach reach, TimePoint now) const {
+  const bool speaks = reach == BeatReach::kAll ||
+                      SpeakersOf(options_.self.data_centre, now).contains(options_.self.host);
+  std::map<DataCentreName, std::set<HostName>> listeners;
+  std::vector<std::string> addresses;
+  for (const auto& [name, peer] : peers_) {
+    const HostRecord& record = peer.beat.record;
+    bool sends = record.data_centre == options_.self.data_centre;
+    if (!sends && speaks && reach == BeatReach::kNear) {
+      auto [known, is_new] = listeners.try_emplace(record.data_centre);
+      if (is_new) known->second = SpeakersOf(record.data_centre, now);
+      sends = known->second.contains(name);
+    } else if (!sends) {
+      sends = speaks;
+    }
+    if (sends) addresses.push_back(record.peer_address);
+  }
+  return addresses;
+}
+
 bool FleetView::IsFirstChoice() const {
   std::uint32_t before = 0;
   const Rank own = RankOf(options_.self);
@@ -133,18 +206,24 @@
   return before < options_.deciders;
 }
 
+bool FleetView::IsHeard(const Peer& peer, TimePoint now) const {
+  const bool far = peer.beat.record.data_centre != options_.self.data_centre;
+  const Duration allowed =
+      far && !peer.frequent ? options_.far_silent_after : options_.silent_after;
+  return peer.heard && now - peer.last_heard <= allowed;
+}
+
 std::vector<FleetView::Candidate> FleetView::Alive(TimePoint now) const {
   std::vector<Candidate> alive;
   if (!leaving_) {
-    alive.push_back({RankOf(options_.self), options_.self.data_centre, options_.self_caller_address,
-                     options_.self.peer_address, true, ready_, store_answers_, local_part_,
-                     request_rate_});
+    alive.push_back({RankOf(options_.self), options_.self.host, options_.self.data_centre,
+                     options_.self_caller_address, options_.self.peer_address, true, ready_,
+                     store_answers_, local_part_, request_rate_});
   }
   for (const auto& [name, peer] : peers_) {
-    if (!peer.heard || now - peer.last_heard > options_.silent_after) continue;
+    if (!IsHeard(peer, now) || peer.beat.leaving) continue;
     const HostBeat& beat = peer.beat;
-    if (beat.leaving) continue;
-    alive.push_back({RankOf(beat.record), beat.record.data_centre, beat.caller_address,
+    alive.push_back({RankOf(beat.record), name, beat.record.data_centre, beat.caller_address,
                      beat.record.peer_address, false, beat.ready, beat.store_answers,
                      beat.local_part, beat.request_rate});
   }
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,6 +43,15 @@
   std::uint32_t deciders = 2;
   /// A host that has been silent for this long is not named to callers.
   Duration silent_after = std::chrono::milliseconds(1600);
+  /// The same for hosts elsewhere whose beats come more rarely.
+  Duration far_silent_after = std::chrono::milliseconds(3600);
+};
+
+/// Which hosts a beat is for.
+enum class BeatReach {
+  kNear,  ///< Hosts of the data centre, and hosts elsewhere that are likely to be named.
+  kFar,   ///< Those, and hosts elsewhere that only need to know where to send callers.
+  kAll,   ///< All, for the first and the last word of a host.
 };
 
 /// Which entry hosts there are, which of them are alive, and which are named to callers. Pure:
@@ -57,8 +67,9 @@
   /// This host itself stops or is not ready.
   void SetSelf(bool ready, bool leaving, bool store_answers);
 
-  /// All other hosts, to send beats to.
-  std::vector<HostRecord> Others() const;
+  /// Addresses to send a beat to. Hosts elsewhere need to hear only of hosts that are named to
+  /// callers or are next in rank, so that the beats of a large fleet stay few.
+  std::vector<std::string> BeatTargets(BeatReach reach, TimePoint now) const;
   /// Hosts of this host's data centre that are registered or alive, this one included.
   std::size_t HostsOfDataCentre() const;
   std::size_t Hosts() const { return peers_.size() + 1; }
@@ -77,9 +88,15 @@
   void SetLocalPart(double part) { local_part_ = part; }
   /// What this host says of HostBeat::request_rate.
   void SetRequestRate(double rate) { request_rate_ = rate; }
-  /// True when this host reads the store for all: it is one of the first two hosts in rank
-  /// that are alive and that the store answers, in two data centres where there are.
+  /// True when this host reads the store for others. Large data centres have a reader each, the
+  /// hosts of all other ones have two, in two data centres where there are: the first in rank of
+  /// those that are alive and that the store answers. Where it answers none, they are chosen from
+  /// all.
   bool IsReader(TimePoint now) const;
+  /// True when the store answers no host for which this one might read.
+  bool StoreIsAway(TimePoint now) const;
+  /// Addresses of the hosts for which this one might read.
+  std::vector<std::string> NewsTargets() const;
   /// True when it would be named also if every registered host were alive.
   bool IsFirstChoice() const;
 
@@ -88,6 +105,8 @@
     HostBeat beat;
     bool heard = false;
     TimePoint last_heard;
+    /// Its last two beats came soon after each other, so that the next one is expected as soon.
+    bool frequent = false;
     /// The start before the present one; its late datagrams are ignored.
     StartId former_start;
   };
@@ -96,6 +115,7 @@
 
   struct Candidate {
     Rank rank;
+    HostName host;
     DataCentreName data_centre;
     std::string caller_address;
     std::string peer_address;
@@ -109,6 +129,13 @@
 
   /// Hosts that are alive and not leaving, by rank.
   std::vector<Candidate> Alive(TimePoint now) const;
+  bool IsHeard(const Peer& peer, TimePoint now) const;
+  /// Data centres that have a reader of their own.
+  std::set<DataCentreName> LargeDataCentres() const;
+  /// Those of the hosts that are alive which read for each other and for this host.
+  std::vector<Candidate> ReadingGroup(TimePoint now) const;
+  /// The hosts of a data centre that are named to callers or come next in rank.
+  std::set<HostName> SpeakersOf(const DataCentreName& data_centre, TimePoint now) const;
   /// Those of them that serve callers.
   std::vector<Candidate> Live(TimePoint now) const;
   std::vector<Candidate> DecidersOf(const DataCentreName& data_centre, TimePoint now) const;
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -1,59 +1,52 @@
 #include "libgateway/forwarder.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "libgateway/exchange_format.h"
+#include "libgateway/server_answer.h"
+
 namespace mulberry::gateway {
 namespace {
 
-/// A connection that does not stand after this time is given up; a round trip between data centres
-/// takes a few milliseconds.
+/// A connection that does not stand after this time is given up; a round trip
+/// between data centres takes a few milliseconds.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
-/// A kept connection that was idle for longer may have been closed unseen; a request that must not
-/// run twice does not risk it.
+/// A kept connection that was idle for longer may have been closed unseen; a
+/// request that must not run twice does not risk it.
 constexpr Duration kUnsafeIdle = std::chrono::milliseconds(1500);
 constexpr Duration kSafeIdle = std::chrono::seconds(8);
-/// A server's own answer at its time limit still gets through in this time.
-constexpr Duration kDeadlineGrace = std::chrono::milliseconds(40);
-/// Attempts whose answer is not wanted any more may take this long beyond the deadline.
+/// A server's own answer at its time limit still gets through in this time: on
+/// a busy host it was seen up to 66 ms after the deadline.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(100);
+/// Attempts whose answer is not wanted any more may take this long beyond the
+/// deadline.
 constexpr Duration kLateAttempts = std::chrono::milliseconds(300);
 /// A request with less time left than this part of a usual answer is not sent.
 constexpr double kLeastTimePart = 0.4;
 /// Before a service has answered, this is taken as its answer time.
 constexpr Duration kUnknownServiceTime = std::chrono::milliseconds(50);
 constexpr std::size_t kMostAnswerBytes = 64 * 1024 * 1024;
-/// A further send for a slow answer waits for this multiple of the usual answer time at least.
+/// A further send for a slow answer waits for this multiple of the usual answer
+/// time at least.
 constexpr double kHedgeAfter = 1.4;
 
+/// When to come back to a host that has no configuration yet; a start takes
+/// about this long.
+constexpr Duration kNotReadyRetry = std::chrono::milliseconds(200);
+
 constexpr int kNoRoute = 404;
 constexpr int kNotRun = 503;
 constexpr int kBadRequest = 400;
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
-const char* ReasonPhrase(int status) {
-  switch (status) {
-    case kBadRequest:
-      return "Bad Request";
-    case kNoRoute:
-      return "Not Found";
-    case kNotRun:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Bad Gateway";
-  }
-}
-
 }  // namespace
 
 Forwarder::Forwarder(Parts parts)
     : parts_(parts),
       links_(parts.io, {.max_head_bytes = 64 * 1024, .max_body_bytes = kMostAnswerBytes}),
-      timer_(parts.io) {}
+      timers_(parts.io, [this](CallId id, TimePoint now) { OnDue(id, now); }) {}
 
 Forwarder::~Forwarder() {
   for (auto& [id, call] : calls_) {
@@ -88,7 +81,8 @@
   TryPlace(admitted, false, arrived);
 }
 
-/// Finds route, service and deadline; answers the request itself when there is none.
+/// Finds route, service and deadline; answers the request itself when there is
+/// none.
 bool Forwarder::Admit(Call& call) {
   if (!parts_.config.ready()) {
     Refuse(call.exchange, kNotRun, "no_configuration", call.request_id);
@@ -150,10 +144,7 @@
 }
 
 void Forwarder::TryPlace(Call& call, bool hedge, TimePoint now) {
-  const Duration usual = parts_.pool.ServiceTime(call.service, kUnknownServiceTime);
-  const auto least =
-      Duration(static_cast<std::int64_t>(static_cast<double>(usual.count()) * kLeastTimePart));
-  if (now + least > call.deadline) {
+  if (IsTooLate(call, now)) {
     if (!hedge) {
       FailCall(call, FailureStatus(call.state.may_have_run, true), "too_late",
                RetryAfterFor(call, now), now);
@@ -238,7 +229,8 @@
   call.tried.insert(choice.id);
   queues_[call.service].OnDispatch(now);
   LinkRequest request;
-  request.bytes = RequestBytes(call, choice, now);
+  request.bytes =
+      WriteServerRequest(call.request, parts_.adapter.headers(), choice.id, call.deadline - now);
   request.is_head = call.request.method == "HEAD";
   request.id_header = call.request_id.empty() ? "" : parts_.adapter.headers().request_id;
   request.id = call.request_id;
@@ -266,59 +258,6 @@
   });
 }
 
-std::string Forwarder::RequestBytes(const Call& call, const Choice& choice, TimePoint now) const {
-  const HeaderNames& names = parts_.adapter.headers();
-  const HttpMessage& request = call.request;
-  const std::string* connection = FindHeader(request.headers, "connection");
-  const std::string_view named = connection == nullptr ? std::string_view() : *connection;
-  std::string bytes;
-  bytes.reserve(512 + request.body.size());
-  bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-  for (const auto& [name, value] : request.headers) {
-    if (IsConnectionHeader(name, named) || EqualsIgnoreCase(name, "content-length") ||
-        EqualsIgnoreCase(name, "expect") || EqualsIgnoreCase(name, names.time_left) ||
-        EqualsIgnoreCase(name, names.target_server)) {
-      continue;
-    }
-    AppendHeader(bytes, name, value);
-  }
-  AppendHeader(bytes, names.time_left,
-               std::to_string(std::max<std::int64_t>(1, ToMilliseconds(call.deadline - now))));
-  AppendHeader(bytes, names.target_server, choice.id.str());
-  const bool states_length = !request.body.empty() ||
-                             FindHeader(request.headers, "content-length") != nullptr ||
-                             FindHeader(request.headers, "transfer-encoding") != nullptr;
-  if (states_length) {
-    AppendHeader(bytes, "Content-Length", std::to_string(request.body.size()));
-  }
-  bytes += "\r\n";
-  bytes += request.body;
-  return bytes;
-}
-
-/// Tells a server's own answer from everything that only looks like one.
-AttemptEnd Forwarder::Classify(const Call& call, const LinkAnswer& answer) const {
-  switch (answer.end) {
-    case LinkEnd::kConnectFailed:
-      return AttemptEnd::kConnectFailed;
-    case LinkEnd::kNotSent:
-      return AttemptEnd::kNotSent;
-    case LinkEnd::kBroken:
-      return AttemptEnd::kBroken;
-    case LinkEnd::kAnswered:
-      break;
-  }
-  const HeaderNames& names = parts_.adapter.headers();
-  const HttpMessage& message = answer.message;
-  if (parts_.adapter.IsMisdirected(message.status)) return AttemptEnd::kMisdirected;
-  if (FindHeader(message.headers, names.not_run) != nullptr) return AttemptEnd::kShed;
-  const std::string* id = FindHeader(message.headers, names.request_id);
-  if (!call.request_id.empty() && id == nullptr) return AttemptEnd::kBroken;
-  if (FindHeader(message.headers, names.server_signature) == nullptr) return AttemptEnd::kBroken;
-  if (FindHeader(message.headers, "content-encoding") != nullptr) return AttemptEnd::kBroken;
-  return message.status >= 500 ? AttemptEnd::kServerFailure : AttemptEnd::kAnswered;
-}
-
 void Forwarder::OnAttemptEnd(CallId id, AttemptId attempt_id, LinkAnswer answer) {
   Call* call = Find(id);
   if (call == nullptr) return;
@@ -328,7 +267,7 @@
   Attempt attempt = std::move(*found);
   call->running.erase(found);
   const TimePoint now = MonotonicClock::now();
-  const AttemptEnd end = Classify(*call, answer);
+  const AttemptEnd end = ClassifyAnswer(answer, call->request_id, parts_.adapter);
   if (end == AttemptEnd::kMisdirected || end == AttemptEnd::kConnectFailed) {
     links_.Drop(attempt.address);
   }
@@ -403,22 +342,11 @@
   const bool promises_not_run =
       message.status == 503 || message.status == 429 || message.status == 408;
   if (promises_not_run) {
-    // The server ran it, so that a status that promises the contrary must not reach the caller.
+    // The server ran it, so that a status that promises the contrary must not
+    // reach the caller.
     FailCall(call, FailureStatus(true, false), "server_status", Duration::zero(), now);
     return;
   }
-  const std::string* connection = FindHeader(message.headers, "connection");
-  const std::string_view named = connection == nullptr ? std::string_view() : *connection;
-  const bool is_head = call.request.method == "HEAD";
-  std::string head;
-  head.reserve(512 + message.body.size());
-  head = fmt::format("HTTP/1.1 {} {}\r\n", message.status, message.reason);
-  for (const auto& [name, value] : message.headers) {
-    if (IsConnectionHeader(name, named)) continue;
-    if (!is_head && EqualsIgnoreCase(name, "content-length")) continue;
-    if (EqualsIgnoreCase(name, parts_.adapter.headers().load)) continue;
-    AppendHeader(head, name, value);
-  }
   parts_.metrics.OnAnswer(call.service, message.status, now - call.arrived);
   LogEvent(LogLevel::kInfo, "answered",
            {{"request", call.request_id},
@@ -428,7 +356,8 @@
             {"status", message.status},
             {"took_ms", ToMilliseconds(now - call.arrived)},
             {"attempts", call.state.attempts}});
-  Reply(call, std::move(head), message.body);
+  const bool is_head = call.request.method == "HEAD";
+  Reply(call, WriteRelayedHead(message, parts_.adapter.headers(), is_head), message.body);
 }
 
 /// Gives the final answer of a call that was not served.
@@ -448,15 +377,10 @@
             {"held_ms", ToMilliseconds(now - call.arrived)},
             {"left_ms", ToMilliseconds(call.deadline - now)},
             {"attempts", call.state.attempts}});
-  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
-  if (status == kNotRun) {
-    AppendHeader(head, "Retry-After",
-                 fmt::format("{:.3f}", std::chrono::duration<double>(retry_after).count()));
-  }
-  if (!call.request_id.empty()) {
-    AppendHeader(head, parts_.adapter.headers().request_id, call.request_id);
-  }
-  Reply(call, std::move(head), std::string(reason) + "\n");
+  std::optional<Duration> when;
+  if (status == kNotRun) when = retry_after;
+  Reply(call, WriteOwnHead(status, when, call.request_id, parts_.adapter.headers()),
+        std::string(reason) + "\n");
 }
 
 void Forwarder::Reply(Call& call, std::string head, const std::string& body) {
@@ -469,17 +393,17 @@
 }
 
 void Forwarder::Refuse(ExchangeId exchange, int status, std::string_view reason,
-                       std::string_view request_id) {
+                       const std::string& request_id) {
   parts_.metrics.OnRefusal(reason);
   LogEvent(LogLevel::kInfo, "refused",
-           {{"request", std::string(request_id)},
+           {{"request", request_id},
             {"status", status},
             {"reason", std::string(reason)},
             {"version", parts_.config.version().value()}});
-  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
-  if (status == kNotRun) AppendHeader(head, "Retry-After", "0.200");
-  if (!request_id.empty()) AppendHeader(head, parts_.adapter.headers().request_id, request_id);
-  server_->Answer(exchange, std::move(head), std::string(reason) + "\n");
+  std::optional<Duration> when;
+  if (status == kNotRun) when = kNotReadyRetry;
+  server_->Answer(exchange, WriteOwnHead(status, when, request_id, parts_.adapter.headers()),
+                  std::string(reason) + "\n");
 }
 
 /// Closes the connections of the attempts that still run.
@@ -496,7 +420,7 @@
   const auto found = calls_.find(id);
   if (found == calls_.end() || !found->second->answered || !found->second->running.empty()) return;
   Dequeue(*found->second);
-  timers_.erase({found->second->timer, id});
+  timers_.Cancel(id);
   calls_.erase(found);
 }
 
@@ -526,40 +450,13 @@
     due = std::min(due, WaitLimit(QuestionOf(call, MonotonicClock::now())));
   }
   due = std::min(due, call.hedge_at);
-  if (due == call.timer) return;
-  timers_.erase({call.timer, call.id});
-  call.timer = due;
-  timers_.emplace(due, call.id);
-  ArmTimer();
-}
-
-void Forwarder::ArmTimer() {
-  if (timers_.empty()) return;
-  const TimePoint due = timers_.begin()->first;
-  if (due >= armed_) return;
-  armed_ = due;
-  timer_.expires_after(std::max(Duration::zero(), Duration(due - MonotonicClock::now())));
-  timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) OnTimer();
-  });
-}
-
-void Forwarder::OnTimer() {
-  armed_ = TimePoint::max();
-  const TimePoint now = MonotonicClock::now();
-  while (!timers_.empty() && timers_.begin()->first <= now) {
-    const CallId id = timers_.begin()->second;
-    timers_.erase(timers_.begin());
-    Call* call = Find(id);
-    if (call == nullptr) continue;
-    call->timer = TimePoint::max();
-    OnDue(*call, now);
-  }
-  ArmTimer();
+  timers_.Set(call.id, due);
 }
 
-void Forwarder::OnDue(Call& call, TimePoint now) {
-  const CallId id = call.id;
+void Forwarder::OnDue(CallId id, TimePoint now) {
+  Call* found = Find(id);
+  if (found == nullptr) return;
+  Call& call = *found;
   if (call.answered) {
     EndAttempts(call, AttemptEnd::kTimedOut, now);
     DropIfDone(id);
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -14,6 +13,7 @@
 
 #include "libgateway/attempt_rules.h"
 #include "libgateway/call_queue.h"
+#include "libgateway/call_timers.h"
 #include "libgateway/caller_session.h"
 #include "libgateway/config_keeper.h"
 #include "libgateway/gateway_metrics.h"
@@ -81,7 +81,6 @@
     std::set<ServerName> tried;
     std::vector<Attempt> running;
     TimePoint hedge_at = TimePoint::max();
-    TimePoint timer = TimePoint::max();
     bool answered = false;  ///< Only late attempts are left.
     bool queued = false;
     const char* last_reason = "";
@@ -93,11 +92,9 @@
   void Enqueue(Call& call, NoChoice reason, TimePoint now);
   void Dequeue(Call& call);
   void Send(Call& call, const Choice& choice, bool hedge, TimePoint now);
-  std::string RequestBytes(const Call& call, const Choice& choice, TimePoint now) const;
   void OnAttemptEnd(CallId id, AttemptId attempt, LinkAnswer answer);
   void TakeLoad(const ServerName& server, AttemptEnd end, const HttpMessage& message,
                 TimePoint now);
-  AttemptEnd Classify(const Call& call, const LinkAnswer& answer) const;
   void AfterEnd(Call& call, AttemptEnd end, HttpMessage& message, const Attempt& attempt,
                 TimePoint now);
   void Relay(Call& call, HttpMessage& message, const Attempt& attempt, TimePoint now);
@@ -105,7 +102,7 @@
                 TimePoint now);
   void Reply(Call& call, std::string head, const std::string& body);
   void Refuse(ExchangeId exchange, int status, std::string_view reason,
-              std::string_view request_id);
+              const std::string& request_id);
   void EndAttempts(Call& call, AttemptEnd end, TimePoint now);
   void DropIfDone(CallId id);
   static QueuedCall QueuedFormOf(const Call& call);
@@ -113,9 +110,7 @@
   Duration RetryAfterFor(const Call& call, TimePoint now);
 
   void SetTimer(Call& call);
-  void ArmTimer();
-  void OnTimer();
-  void OnDue(Call& call, TimePoint now);
+  void OnDue(CallId id, TimePoint now);
 
   Parts parts_;
   CallerServer* server_ = nullptr;
@@ -127,9 +122,7 @@
   std::unordered_map<ExchangeId, CallId> by_exchange_;
   std::map<ServiceName, CallQueue> queues_;
   std::minstd_rand random_{std::random_device{}()};
-  std::set<std::pair<TimePoint, CallId>> timers_;
-  asio::steady_timer timer_;
-  TimePoint armed_ = TimePoint::max();
+  CallTimers timers_;
   std::uint64_t next_call_ = 1;
   std::uint64_t next_attempt_ = 1;
   std::set<ServerName> reported_;
--- a/src/libgateway/gateway_settings.cc
+++ b/src/libgateway/gateway_settings.cc
@@ -23,6 +23,7 @@
       {"listen", "peer_port", kRequired, Port(&s->peer_port)},
       {"listen", "metrics_port", kRequired, Port(&s->metrics_port)},
       {"store", "address", kRequired, Address(&s->store_address)},
+      {"store", "first_start", false, Boolean(&s->first_start)},
       {"store", "server_heartbeat_ms", false, Milliseconds(50, 600'000, &s->server_heartbeat)},
       {"store", "leaving_bound_ms", false, Milliseconds(200, 600'000, &s->leaving_bound)},
       {"callers", "longest_ttl_s", false,
--- a/src/libgateway/gateway_settings.h
+++ b/src/libgateway/gateway_settings.h
@@ -25,6 +25,8 @@
   std::uint16_t metrics_port = 0;  ///< Counters and histograms as text.
   // [store]
   std::string store_address;
+  /// The whole system starts for the first time, so that no host is in the store's list yet.
+  bool first_start = false;
   /// How often backend servers refresh their entries.
   Duration server_heartbeat = std::chrono::milliseconds(1500);
   /// Time after which an acknowledged leaving binds; news is read at less than half of it.
--- a/src/libgateway/news_relay.h
+++ b/src/libgateway/news_relay.h
@@ -14,10 +14,12 @@
 class NewsRelay {
  public:
   /// Takes a read from one offset to another. A read that does not follow the last one (after a gap
-  /// in the topic) starts anew.
+  /// in the topic) starts anew. Precondition: the changes are in the order of their offsets.
   void OnRead(Offset from, Offset to, std::vector<TopicRecord> changes);
-  /// Returns the changes of the last reads, as many as fit into a datagram.
-  TopicNews News(Duration unsettled) const;
+  /// Returns the changes of the last reads; where only the last one has room, that one in as many
+  /// pieces as needed, each for a datagram of its own. A record that has no room in a datagram is
+  /// left out, and shows as a gap.
+  std::vector<TopicNews> News(Duration unsettled) const;
 
  private:
   struct Read {
@@ -26,6 +28,8 @@
     std::vector<TopicRecord> changes;
     std::size_t bytes = 0;
   };
+  static void AppendPieces(const Read& read, Duration unsettled, std::vector<TopicNews>* pieces);
+
   std::deque<Read> reads_;
 };
 
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -20,6 +20,7 @@
     added->set_key(record.key);
     added->set_removed(!record.value);
     if (record.value) added->set_value(*record.value);
+    added->set_place(static_cast<std::uint32_t>(record.offset.value() - news.from.value()));
   }
 }
 
@@ -29,7 +30,7 @@
   for (const wire::TopicNews::Record& record : in.records()) {
     std::optional<std::string> value;
     if (!record.removed()) value = record.value();
-    news.records.push_back({record.key(), std::move(value)});
+    news.records.push_back({record.key(), std::move(value), Offset(in.from() + record.place())});
   }
   return news;
 }
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -26,8 +26,8 @@
 
 /// What another host has read of a topic.
 struct TopicNews {
-  Offset from;
-  Offset to;
+  Offset from{};
+  Offset to{};
   /// How much longer entries that lapsed during an outage of the store may come back.
   Duration unsettled{};
   /// Records between the offsets that change something.
--- a/src/libgateway/platform_adapter.h
+++ b/src/libgateway/platform_adapter.h
@@ -40,6 +40,7 @@
 struct TopicRecord {
   std::string key;
   std::optional<std::string> value;
+  Offset offset{};  ///< Place in the topic; not set in a NewestPage.
 };
 
 /// Some of the newest records of a topic.
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -5,8 +5,11 @@
 namespace mulberry::gateway {
 namespace {
 
-/// Time for an answer of the store beyond the wait that was asked for.
-constexpr Duration kAnswerTimeout = std::chrono::milliseconds(1500);
+/// Time for an answer of the store beyond the wait that was asked for; it usually takes a few
+/// milliseconds, and another host should read soon when a connection has gone silent.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(600);
+/// The same after a failure, for a store that is slow.
+constexpr Duration kSlowAnswerTimeout = std::chrono::milliseconds(1500);
 /// A kept connection to the store is not used after this idle time.
 constexpr Duration kStoreIdle = std::chrono::seconds(5);
 constexpr std::size_t kMostAnswerBytes = 16 * 1024 * 1024;
@@ -31,14 +34,27 @@
       address_(std::move(address)),
       links_(io, {.max_head_bytes = 16 * 1024, .max_body_bytes = kMostAnswerBytes}) {}
 
+StoreClient::~StoreClient() {
+  for (auto& [number, running] : running_) {
+    if (running.link) running.link->Close();
+  }
+}
+
 void StoreClient::Call(const StoreCall& call, Duration timeout, Done done) {
+  const std::uint64_t number = ++calls_;
   auto taken = links_.Take(address_, kStoreIdle);
+  Running& running =
+      running_.emplace(number, Running{nullptr, asio::steady_timer(io_), std::move(done)})
+          .first->second;
+  running.timer.expires_after(taken ? timeout : Duration::zero());
+  running.timer.async_wait([this, number](const asio::error_code& error) {
+    if (!error) OnTimeout(number);
+  });
   if (!taken) {
-    asio::post(io_, [done = std::move(done), error = taken.error()] { done(error); });
+    LogEvent(LogLevel::kError, "store_address_unusable", {{"error", taken.error().message}});
     return;
   }
-  ++calls_;
-  const std::shared_ptr<HttpLink> link = taken.value();
+  running.link = taken.value();
   LinkRequest request;
   request.bytes = call.method + " " + call.target + " HTTP/1.1\r\n";
   AppendHeader(request.bytes, "Host", address_);
@@ -47,27 +63,29 @@
     AppendHeader(request.bytes, "Content-Length", std::to_string(call.body.size()));
   }
   request.bytes += "\r\n" + call.body;
-  auto timer = std::make_shared<asio::steady_timer>(io_);
-  auto finish = std::make_shared<Done>(std::move(done));
-  timer->expires_after(timeout);
-  timer->async_wait([link, finish](const asio::error_code& error) {
-    if (error || !*finish) return;
-    link->Close();
-    std::exchange(*finish, nullptr)(Error{ErrorCode::kTimeout, "no answer of the store in time"});
-  });
-  link->Exchange(std::move(request), [this, link, timer, finish](LinkAnswer answer) {
-    timer->cancel();
-    if (!*finish) return;
-    links_.Give(address_, link);
-    const Done call_back = std::exchange(*finish, nullptr);
-    if (answer.end == LinkEnd::kAnswered) {
-      call_back(std::move(answer.message));
-    } else {
-      call_back(Error{ErrorCode::kUnavailable, answer.error});
-    }
+  running.link->Exchange(std::move(request), [this, number](LinkAnswer answer) {
+    OnAnswer(number, std::move(answer));
   });
 }
 
+void StoreClient::OnAnswer(std::uint64_t number, LinkAnswer answer) {
+  auto call = running_.extract(number);
+  if (call.empty()) return;
+  links_.Give(address_, call.mapped().link);
+  if (answer.end == LinkEnd::kAnswered) {
+    call.mapped().done(std::move(answer.message));
+  } else {
+    call.mapped().done(Error{ErrorCode::kUnavailable, answer.error});
+  }
+}
+
+void StoreClient::OnTimeout(std::uint64_t number) {
+  auto call = running_.extract(number);
+  if (call.empty()) return;
+  if (call.mapped().link) call.mapped().link->Close();
+  call.mapped().done(Error{ErrorCode::kTimeout, "no answer of the store in time"});
+}
+
 StoreReader::StoreReader(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter,
                          Topic topic, FollowOptions options, TopicFollower::Sink sink,
                          Updated updated)
@@ -82,8 +100,20 @@
 void StoreReader::Start() { Step(); }
 
 void StoreReader::Hurry() {
-  hurried_ = true;
-  if (calling_) return;
+  if (!failing_) {
+    hurried_ = true;
+    if (!calling_) ReadNow();
+    return;
+  }
+  // A store that does not answer is not pressed, but tried again as soon as if nobody else read.
+  if (std::exchange(wanted_, true) || calling_) return;
+  timer_.expires_after(options_.retry_pause);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) ReadNow();
+  });
+}
+
+void StoreReader::ReadNow() {
   follower_.OnPauseOver();
   timer_.cancel();
   Step();
@@ -92,7 +122,7 @@
 void StoreReader::SetSuspended(bool suspended) {
   const bool resumed = suspended_ && !suspended;
   suspended_ = suspended;
-  if (resumed && !calling_) Hurry();
+  if (resumed && !calling_) ReadNow();
 }
 
 void StoreReader::OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records) {
@@ -123,7 +153,7 @@
             {"failing", failing_}});
   hurried_ = false;
   StoreCall call;
-  Duration timeout = kAnswerTimeout;
+  Duration timeout = failing_ ? kSlowAnswerTimeout : kAnswerTimeout;
   if (const auto* newest = std::get_if<FollowNewest>(&step)) {
     call = adapter_.ReadNewest(topic_, newest->after);
   } else {
@@ -133,6 +163,7 @@
   store_.Call(call, timeout, [this, step](Result<HttpMessage> answer) {
     calling_ = false;
     OnAnswer(step, std::move(answer));
+    if (failing_) hurried_ = false;
     if (hurried_) follower_.OnPauseOver();
     Step();
   });
@@ -160,15 +191,17 @@
     Fail(taken.error().message);
     return;
   }
-  last_answer_ = MonotonicClock::now();
-  if (failing_ || answering_since_ == TimePoint::max()) {
-    answering_since_ = last_answer_;
+  const bool regained = failing_ || !answered_;
+  failing_ = false;
+  wanted_ = false;
+  answered_ = true;
+  if (regained) {
     LogEvent(LogLevel::kInfo, "store_answers",
              {{"topic", TopicName(topic_)}, {"offset", follower_.next_offset().value()}});
   }
-  failing_ = false;
   const bool is_newest = std::holds_alternative<FollowNewest>(step);
   updated_(is_newest ? follower_.next_offset() : asked);
+  if (regained && reachable_sink_) reachable_sink_(true);
 }
 
 Result<void> StoreReader::Take(const FollowStep& step, const HttpMessage& answer) {
@@ -191,8 +224,9 @@
               {"offset", follower_.next_offset().value()},
               {"error", why}});
   }
-  failing_ = true;
-  follower_.OnFailed(std::uniform_real_distribution<double>(0, 1)(random_));
+  const bool lost = !std::exchange(failing_, true);
+  follower_.OnFailed(std::uniform_real_distribution<double>(0, 1)(random_), suspended_ && !wanted_);
+  if (lost && reachable_sink_) reachable_sink_(false);
 }
 
 }  // namespace mulberry::gateway
--- a/src/libgateway/store_reader.h
+++ b/src/libgateway/store_reader.h
@@ -2,7 +2,9 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -22,18 +24,31 @@
   using Done = std::function<void(Result<HttpMessage>)>;
 
   StoreClient(asio::io_context& io, std::string address);
+  ~StoreClient();
+  StoreClient(const StoreClient&) = delete;
+  StoreClient& operator=(const StoreClient&) = delete;
 
+  /// `done` is called once, later, unless the client is destroyed before.
   void Call(const StoreCall& call, Duration timeout, Done done);
   /// Later calls go to this address.
   void SetAddress(std::string address) { address_ = std::move(address); }
   std::uint64_t calls() const { return calls_; }
-  LinkPool& links() { return links_; }
 
  private:
+  struct Running {
+    std::shared_ptr<HttpLink> link;
+    asio::steady_timer timer;
+    Done done;
+  };
+
+  void OnAnswer(std::uint64_t number, LinkAnswer answer);
+  void OnTimeout(std::uint64_t number);
+
   asio::io_context& io_;
   std::string address_;
   LinkPool links_;
   std::uint64_t calls_ = 0;
+  std::map<std::uint64_t, Running> running_;  ///< By number of the call.
 };
 
 /// Follows one topic of the store through a StoreClient. Only for the thread that runs the
@@ -46,10 +61,18 @@
   StoreReader(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter, Topic topic,
               FollowOptions options, TopicFollower::Sink sink, Updated updated);
 
+  /// Told when the store stops answering and when it answers again, the first time included.
+  using ReachableSink = std::function<void(bool reachable)>;
+
+  /// Precondition: called before Start.
+  void SetReachableSink(ReachableSink sink) { reachable_sink_ = std::move(sink); }
+  void SetInterval(Duration interval) { follower_.SetInterval(interval); }
   void Start();
-  /// Reads at once instead of after the pause; a read that is running is left alone.
+  /// There are records that are missing here: reads at once instead of after the pause, or soon
+  /// where the last read failed. A read that is running is left alone.
   void Hurry();
-  /// While set, the topic is not read unless Hurry is called.
+  /// While set, the topic is not read unless Hurry is called, but for a rare try where the store
+  /// does not answer.
   void SetSuspended(bool suspended);
 
   /// Takes what another host has read; records that are missing here are read from the store.
@@ -57,14 +80,11 @@
 
   bool complete() const { return follower_.complete(); }
   Offset next_offset() const { return follower_.next_offset(); }
-  /// When the store last answered.
-  TimePoint last_answer() const { return last_answer_; }
-  /// When the store first answered again after the last failure; failures after it reset it.
-  TimePoint answering_since() const { return answering_since_; }
   bool failing() const { return failing_; }
 
  private:
   void Step();
+  void ReadNow();
   void OnAnswer(const FollowStep& step, Result<HttpMessage> answer);
   Result<void> Take(const FollowStep& step, const HttpMessage& answer);
   void Fail(const std::string& why);
@@ -80,9 +100,11 @@
   bool calling_ = false;
   bool hurried_ = false;
   bool suspended_ = false;
+  /// There are records that this reader lacks.
+  bool wanted_ = false;
   bool failing_ = false;
-  TimePoint last_answer_;
-  TimePoint answering_since_ = TimePoint::max();
+  bool answered_ = false;
+  ReachableSink reachable_sink_;
 };
 
 /// Returns the name of a topic, for logs.
--- a/src/libgateway/topic_follower.cc
+++ b/src/libgateway/topic_follower.cc
@@ -15,6 +15,7 @@
 }
 
 void TopicFollower::OnNewest(const NewestPage& page) {
+  failures_ = 0;
   // Pages are no snapshot: what was written since the first one is read as records.
   if (first_page_) next_ = page.end;
   first_page_ = false;
@@ -33,25 +34,27 @@
   known_ = std::exchange(seen_, {});
   newest_done_ = true;
   complete_ = true;
-  pause_ = options_.interval;
+  pause_ = std::max(options_.interval, options_.first_pause);
 }
 
 void TopicFollower::OnRecords(const RecordPage& page) {
-  next_ = page.next;
+  failures_ = 0;
   Deliver(page.records);
+  next_ = std::max(next_, page.next);
   pause_ = options_.interval;
 }
 
 bool TopicFollower::OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records) {
   if (!newest_done_ || from > next_) return false;
-  if (to <= next_) return true;
-  next_ = to;
   Deliver(records);
+  next_ = std::max(next_, to);
   return true;
 }
 
 void TopicFollower::Deliver(const std::vector<TopicRecord>& records) {
   for (const TopicRecord& record : records) {
+    // What another host has read may overlap with what this one has.
+    if (record.offset < next_) continue;
     const auto place = std::lower_bound(known_.begin(), known_.end(), record.key);
     const bool is_known = place != known_.end() && *place == record.key;
     if (record.value && !is_known) known_.insert(place, record.key);
@@ -67,9 +70,16 @@
   seen_.clear();
 }
 
-void TopicFollower::OnFailed(double random) {
-  pause_ = Duration(static_cast<std::int64_t>(static_cast<double>(options_.retry_pause.count()) *
-                                              (0.5 + random / 2)));
+void TopicFollower::OnFailed(double random, bool suspended) {
+  Duration longest = options_.retry_pause;
+  for (std::uint32_t i = 0; i < failures_ && longest < options_.longest_retry_pause; ++i) {
+    longest *= 2;
+  }
+  longest = std::min(longest, options_.longest_retry_pause);
+  if (suspended) longest = options_.suspended_retry_pause;
+  ++failures_;
+  pause_ = Duration(
+      static_cast<std::int64_t>(static_cast<double>(longest.count()) * (0.5 + random / 2)));
 }
 
 }  // namespace mulberry::gateway
--- a/src/libgateway/topic_follower.h
+++ b/src/libgateway/topic_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <variant>
@@ -15,8 +16,16 @@
   Duration wait{};
   /// Pause between reads.
   Duration interval{};
+  /// Least pause after the newest records have been read, in which a host that has just started
+  /// hears of others that read.
+  Duration first_pause = std::chrono::milliseconds(500);
   /// Pause after a failed read; random within half of it, so that hosts spread.
   Duration retry_pause = std::chrono::milliseconds(300);
+  /// The pause doubles with each failure up to this; a store that is back is found in time for
+  /// what then binds, some three seconds after its return.
+  Duration longest_retry_pause = std::chrono::milliseconds(1500);
+  /// Pause after a failed read while other hosts read.
+  Duration suspended_retry_pause = std::chrono::seconds(4);
 };
 
 /// Next step of a follower.
@@ -54,8 +63,9 @@
   bool OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records);
   /// Records were asked for that the store has deleted.
   void OnExpired();
-  /// `random` is between 0 and 1.
-  void OnFailed(double random);
+  /// `random` is between 0 and 1. `suspended`: other hosts read.
+  void OnFailed(double random, bool suspended);
+  void SetInterval(Duration interval) { options_.interval = interval; }
 
   /// True once all newest records have been read since the start.
   bool complete() const { return complete_; }
@@ -72,6 +82,7 @@
   std::string after_;
   Offset next_;
   Duration pause_{};
+  std::uint32_t failures_ = 0;  ///< Failed reads in a row.
   std::vector<std::string> known_;
   std::vector<std::string> seen_;
 };
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -120,6 +120,7 @@
   std::string peer_address;  ///< "ip:port" of its datagram socket.
   /// Requests a second that it serves with ease.
   double capacity = 100;
+  bool operator==(const HostRecord&) const = default;
 };
 
 }  // namespace mulberry::gateway
--- a/tests/gateway/fleet_view_test.cc
+++ b/tests/gateway/fleet_view_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace mulberry::gateway {
@@ -45,6 +46,9 @@
       views.emplace_back(options);
       views.back().SetSelf(true, false, true);
     }
+    // Hosts that are named beat every 400 ms.
+    HearAll();
+    now += milliseconds(400);
     HearAll();
   }
 
@@ -151,5 +155,90 @@
   CHECK_FALSE(views[0].OnBeat(Beat(records[0]), now));
 }
 
+TEST_CASE("beats go to the own data centre and, elsewhere, from and to the hosts next in rank") {
+  constexpr int kDataCentres = 3;
+  constexpr int kHosts = 30;
+  std::vector<HostRecord> records;
+  for (int d = 0; d < kDataCentres; ++d) {
+    for (int n = 0; n < kHosts; ++n) records.push_back(Record(d, n));
+  }
+  const TimePoint now(seconds(100));
+  std::size_t near = 0;
+  std::size_t far_senders = 0;
+  for (const HostRecord& self : records) {
+    FleetOptions options;
+    options.self = self;
+    options.deciders = 2;
+    FleetView view(options);
+    view.SetSelf(true, false, true);
+    for (const HostRecord& other : records) view.OnBeat(Beat(other), now);
+    const std::size_t often = view.BeatTargets(BeatReach::kNear, now).size();
+    const std::size_t rarely = view.BeatTargets(BeatReach::kFar, now).size();
+    CHECK(view.BeatTargets(BeatReach::kAll, now).size() == records.size() - 1);
+    CHECK(often >= kHosts - 1);
+    // Two named hosts and two spare ones in each of the other data centres.
+    CHECK(often <= kHosts - 1 + 4 * (kDataCentres - 1));
+    near += often;
+    if (rarely == records.size() - 1) {
+      ++far_senders;
+    } else {
+      CHECK(rarely == kHosts - 1);
+    }
+  }
+  CHECK(far_senders == 4 * kDataCentres);
+  CHECK(near < records.size() * (kHosts + 2));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a host elsewhere that is heard rarely is silent only after longer") {
+  FleetView& view = views[0];
+  const std::size_t elsewhere = 4;
+  const DataCentreName name("d1");
+  for (int i = 0; i < 3; ++i) {
+    now += milliseconds(1200);
+    for (std::size_t n = 0; n < 4; ++n) view.OnBeat(Beat(records[elsewhere + n]), now);
+  }
+  now += milliseconds(3000);
+  CHECK_FALSE(view.AddressesFor(name, now).empty());
+  now += milliseconds(1000);
+  CHECK(view.RemoteDeciders(now).empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "where the store answers nobody, two hosts go on trying") {
+  std::size_t readers = 0;
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    views[i].SetSelf(true, false, false);
+    for (std::size_t from = 0; from < records.size(); ++from) {
+      HostBeat beat = Beat(records[from]);
+      beat.store_answers = false;
+      if (from != i) views[i].OnBeat(beat, now);
+    }
+    CHECK(views[i].StoreIsAway(now));
+    if (views[i].IsReader(now)) ++readers;
+  }
+  CHECK(readers == 2);
+}
+
+TEST_CASE("a large data centre has a reader of its own, which tells only its hosts") {
+  std::vector<HostRecord> records;
+  for (int n = 0; n < 30; ++n) records.push_back(Record(0, n));
+  for (int d = 1; d < 3; ++d) {
+    for (int n = 0; n < 4; ++n) records.push_back(Record(d, n));
+  }
+  const TimePoint now(seconds(100));
+  std::map<std::string, int> readers;
+  for (const HostRecord& self : records) {
+    FleetOptions options;
+    options.self = self;
+    FleetView view(options);
+    view.SetSelf(true, false, true);
+    for (const HostRecord& other : records) view.OnBeat(Beat(other), now);
+    const bool large = self.data_centre == DataCentreName("d0");
+    if (view.IsReader(now)) ++readers[large ? "large" : "small"];
+    CHECK(view.NewsTargets().size() == (large ? 29 : 7));
+  }
+  CHECK(readers["large"] == 1);
+  CHECK(readers["small"] == 2);
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
--- a/tests/gateway/test_caller.h
+++ b/tests/gateway/test_caller.h
@@ -23,6 +23,13 @@
     socket_.connect({asio::ip::make_address_v4("127.0.0.1"), port});
     Read();
   }
+  /// `address` is "ip:port".
+  void Connect(const std::string& address) {
+    const std::size_t colon = address.find(':');
+    socket_.connect({asio::ip::make_address_v4(address.substr(0, colon)),
+                     static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))});
+    Read();
+  }
   void Write(const std::string& bytes) {
     asio::error_code ignored;
     asio::write(socket_, asio::buffer(bytes), ignored);
--- /dev/null
+++ b/tests/platform/backend_stand_in.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "libbase/base.h"
+#include "libgateway/caller_session.h"
+
+namespace mulberry::platform {
+
+/// How a backend stand-in treats requests.
+enum class BackendMode {
+  kServing,
+  kMute,         ///< Runs them and never answers.
+  kFailing,      ///< Runs them and answers 500.
+  kLosesAnswers  ///< Runs them and closes the connection without their answer.
+};
+
+/// A backend server on loopback that counts what it has run. Only for the thread that runs the
+/// io_context.
+class BackendStandIn : public gateway::CallerEvents {
+ public:
+  BackendStandIn(asio::io_context& io, std::string id, std::string service)
+      : io_(io), id_(std::move(id)), service_(std::move(service)), server_(io, *this) {
+    gateway::CallerLimits limits;
+    limits.idle_timeout = std::chrono::hours(1);
+    server_.SetLimits(limits);
+  }
+
+  Result<void> Open(const std::string& ip, std::uint16_t port) { return server_.Open(ip, port); }
+
+  const std::string& id() const { return id_; }
+  const std::string& service() const { return service_; }
+  void SetMode(BackendMode mode) { mode_ = mode; }
+  void SetWork(std::chrono::milliseconds work) { work_ = work; }
+  /// Request ids and how often each was run.
+  const std::map<std::string, int>& runs() const { return runs_; }
+  /// When the last request arrived, health checks aside.
+  TimePoint last_arrival() const { return last_arrival_; }
+
+  void OnRequest(gateway::ExchangeId exchange, gateway::HttpMessage request,
+                 TimePoint arrived) override {
+    const std::string load = std::to_string(running_) + ",0,8,100";
+    if (request.target == "/health") {
+      server_.Answer(
+          exchange,
+          "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id_ + "\r\nX-Backend-Load: " + load + "\r\n", "");
+      return;
+    }
+    const std::string* target = gateway::FindHeader(request.headers, "X-Target-Instance");
+    const std::string* id = gateway::FindHeader(request.headers, "X-Request-Id");
+    if (target != nullptr && *target != id_) {
+      server_.Answer(exchange, "HTTP/1.1 421 -\r\nX-Not-Executed: 1\r\n", "");
+      return;
+    }
+    last_arrival_ = arrived;
+    const std::string request_id = id == nullptr ? "" : *id;
+    ++runs_[request_id];
+    ++running_;
+    auto timer = std::make_shared<asio::steady_timer>(io_, work_);
+    timer->async_wait([this, timer, exchange, request_id](const asio::error_code&) {
+      --running_;
+      Finish(exchange, request_id);
+    });
+  }
+  void OnGone(gateway::ExchangeId) override {}
+
+ private:
+  void Finish(gateway::ExchangeId exchange, const std::string& request_id) {
+    if (mode_ == BackendMode::kMute) return;
+    if (mode_ == BackendMode::kLosesAnswers) {
+      // An answer to another request, and the end of the connection.
+      server_.Answer(exchange, "HTTP/1.1 200 -\r\nX-Request-Id: other\r\n", "", true);
+      return;
+    }
+    const int status = mode_ == BackendMode::kFailing ? 500 : 200;
+    server_.Answer(exchange,
+                   "HTTP/1.1 " + std::to_string(status) + " -\r\nX-Request-Id: " + request_id +
+                       "\r\nX-Response-Signature: " + id_ + "." + request_id +
+                       "\r\nX-Backend-Load: " + std::to_string(running_) + ",0,8,100\r\n",
+                   service_ + ":" + request_id);
+  }
+
+  asio::io_context& io_;
+  std::string id_;
+  std::string service_;
+  BackendMode mode_ = BackendMode::kServing;
+  std::chrono::milliseconds work_{5};
+  std::uint32_t running_ = 0;
+  std::map<std::string, int> runs_;
+  TimePoint last_arrival_;
+  gateway::CallerServer server_;
+};
+
+}  // namespace mulberry::platform
--- /dev/null
+++ b/tests/platform/store_stand_in.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <absl/strings/escaping.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libbase/base.h"
+#include "libgateway/caller_session.h"
+#include "platform/log_format.h"
+
+namespace mulberry::platform {
+
+/// How a store stand-in treats calls.
+enum class StoreMode {
+  kServing,
+  kRefusing,     ///< Answers 503 and does nothing.
+  kSilent,       ///< Does nothing and never answers.
+  kLosesAnswers  ///< Does what is asked and never answers.
+};
+
+/// The platform's metadata store with keyed topics of one part, on loopback. Only for the thread
+/// that runs the io_context.
+class StoreStandIn : public gateway::CallerEvents {
+ public:
+  explicit StoreStandIn(asio::io_context& io) : io_(io), server_(io, *this) {
+    gateway::CallerLimits limits;
+    limits.idle_timeout = std::chrono::hours(1);
+    server_.SetLimits(limits);
+  }
+
+  Result<void> Open(const std::string& ip, std::uint16_t port) { return server_.Open(ip, port); }
+
+  void SetMode(StoreMode mode) { mode_ = mode; }
+  std::uint64_t calls() const { return calls_; }
+
+  /// Appends a record; without a value the key is removed.
+  void Put(const std::string& name, const std::string& key, std::optional<std::string> value) {
+    Topic& topic = topics_[name];
+    if (value) {
+      topic.newest[key] = {*value, topic.first + topic.records.size()};
+    } else {
+      topic.newest.erase(key);
+    }
+    topic.records.push_back(EncodeRecord(key, value.value_or("")));
+    WakeReaders(name);
+  }
+
+  /// Deletes all records but the newest of each key.
+  void Compact() {
+    for (auto& [name, topic] : topics_) {
+      topic.first += topic.records.size();
+      topic.records.clear();
+    }
+  }
+
+  std::size_t Keys(const std::string& name) { return topics_[name].newest.size(); }
+
+  void OnRequest(gateway::ExchangeId exchange, gateway::HttpMessage request, TimePoint) override {
+    ++calls_;
+    if (mode_ == StoreMode::kRefusing) {
+      Answer(exchange, 503, "");
+      return;
+    }
+    if (mode_ == StoreMode::kSilent) return;
+    if (mode_ == StoreMode::kLosesAnswers) lost_.insert(exchange);
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    const std::string topic = Field(request.target, "Topic");
+    if (path == "/log-append") {
+      OnAppend(exchange, topic, request.body);
+    } else if (path == "/log-newest") {
+      OnNewest(exchange, topic);
+    } else if (path == "/log-read") {
+      OnRead(exchange, topic, request.target);
+    } else {
+      Answer(exchange, 404, "");
+    }
+  }
+
+  void OnGone(gateway::ExchangeId exchange) override { waiting_.erase(exchange); }
+
+ private:
+  struct Newest {
+    std::string value;
+    std::uint64_t offset = 0;
+  };
+  struct Topic {
+    std::uint64_t first = 0;
+    std::vector<std::string> records;  ///< Encoded.
+    std::map<std::string, Newest> newest;
+  };
+  struct Waiting {
+    std::string topic;
+    std::uint64_t from = 0;
+  };
+
+  static std::string Field(std::string_view target, const std::string& name) {
+    for (const std::string_view field : Split(target.substr(target.find('?') + 1), '&')) {
+      if (field.starts_with(name + "=")) return std::string(field.substr(name.size() + 1));
+    }
+    return "";
+  }
+
+  static std::string BigEndian(std::uint64_t number) {
+    std::string out;
+    for (int shift = 56; shift >= 0; shift -= 8) out += static_cast<char>(number >> shift & 0xffU);
+    return out;
+  }
+
+  void Answer(gateway::ExchangeId exchange, int status, const std::string& body) {
+    if (lost_.erase(exchange) > 0) return;
+    server_.Answer(exchange, "HTTP/1.1 " + std::to_string(status) + " -\r\n", body);
+  }
+
+  void OnAppend(gateway::ExchangeId exchange, const std::string& topic, const std::string& body) {
+    const auto page = DecodeRecords(std::string(16, '\0') + body, Offset(0));
+    if (!page) {
+      Answer(exchange, 400, "");
+      return;
+    }
+    for (const gateway::TopicRecord& record : page.value().records) {
+      Put(topic, record.key, record.value);
+    }
+    Answer(exchange, 200, "{}");
+  }
+
+  void OnNewest(gateway::ExchangeId exchange, const std::string& name) {
+    const Topic& topic = topics_[name];
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto& [key, newest] : topic.newest) {
+      std::string encoded;
+      absl::Base64Escape(newest.value, &encoded);
+      items.push_back({{"Key", key}, {"Value", encoded}, {"Offset", newest.offset}});
+    }
+    const nlohmann::json body = {
+        {"items", items}, {"More", false}, {"End", topic.first + topic.records.size()}};
+    Answer(exchange, 200, body.dump());
+  }
+
+  void OnRead(gateway::ExchangeId exchange, const std::string& name, const std::string& target) {
+    const std::uint64_t from = std::stoull("0" + Field(target, "From"));
+    const std::uint64_t wait_ms = std::stoull("0" + Field(target, "WaitMs"));
+    const Topic& topic = topics_[name];
+    if (from < topic.first) {
+      Answer(exchange, 410, "{\"First\":" + std::to_string(topic.first) + "}");
+      return;
+    }
+    if (from == topic.first + topic.records.size() && wait_ms > 0) {
+      waiting_[exchange] = {name, from};
+      auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(wait_ms));
+      timer->async_wait([this, timer, exchange](const asio::error_code&) {
+        const auto found = waiting_.find(exchange);
+        if (found != waiting_.end()) AnswerRead(exchange, Waiting(found->second));
+      });
+      return;
+    }
+    AnswerRead(exchange, {name, from});
+  }
+
+  void AnswerRead(gateway::ExchangeId exchange, const Waiting& read) {
+    waiting_.erase(exchange);
+    const Topic& topic = topics_[read.topic];
+    std::string body = BigEndian(topic.first + topic.records.size()) + BigEndian(topic.first);
+    for (std::uint64_t i = std::max(read.from, topic.first) - topic.first; i < topic.records.size();
+         ++i) {
+      body += topic.records[i];
+    }
+    Answer(exchange, 200, body);
+  }
+
+  void WakeReaders(const std::string& topic) {
+    const auto waiting = waiting_;
+    for (const auto& [exchange, read] : waiting) {
+      if (read.topic == topic && mode_ == StoreMode::kServing) AnswerRead(exchange, read);
+    }
+  }
+
+  asio::io_context& io_;
+  StoreMode mode_ = StoreMode::kServing;
+  std::uint64_t calls_ = 0;
+  std::map<std::string, Topic> topics_;
+  std::map<gateway::ExchangeId, Waiting> waiting_;
+  std::set<gateway::ExchangeId> lost_;
+  gateway::CallerServer server_;
+};
+
+}  // namespace mulberry::platform
