Fault soak of the gateway: real processes under signals, loopback relays, a store and servers that misbehave

Faults at random, several at a time, then calm, a leaving server, a change of the configuration and a planned stop; checked from what callers and servers saw.

--- /dev/null
+++ b/tests/soak/checks.cc
@@ -0,0 +1,52 @@
+#include "soak/checks.h"
+
+#include <algorithm>
+
+namespace mulberry::soak {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+/// Statuses that promise that the request has not run.
+bool PromisesNotRun(int status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+}  // namespace
+
+std::vector<std::string> CheckRequests(const Callers& callers, Fleet& fleet) {
+  std::vector<std::string> broken;
+  std::map<std::string, int> runs;
+  for (const auto& backend : fleet.backends()) {
+    for (const auto& [id, count] : backend->server->runs()) {
+      runs[id] += count;
+      if (callers.sent().count(id) == 0) broken.push_back("run without a caller: " + id);
+    }
+  }
+  for (const auto& [id, sent] : callers.sent()) {
+    const auto found = runs.find(id);
+    const int ran = found == runs.end() ? 0 : found->second;
+    if (sent.unsafe && ran > 1) broken.push_back("ran more than once: " + id);
+    if (PromisesNotRun(sent.status) && ran > 0) {
+      broken.push_back("ran, and was answered " + std::to_string(sent.status) + ": " + id);
+    }
+    if (sent.status != kStatusOk) continue;
+    if (ran == 0) broken.push_back("answered without a run: " + id);
+    const bool own = sent.body.ends_with(":" + id) && sent.signature.ends_with("." + id);
+    if (!own) broken.push_back("answer of another request: " + id);
+  }
+  return broken;
+}
+
+double ServedPart(const Callers& callers, TimePoint since, TimePoint until) {
+  double all = 0;
+  double served = 0;
+  for (const auto& [id, sent] : callers.sent()) {
+    if (id.front() != 'q' || sent.at < since || sent.at > until) continue;
+    ++all;
+    if (sent.status == kStatusOk) ++served;
+  }
+  return all == 0 ? 0 : served / all;
+}
+
+}  // namespace mulberry::soak
