--- a/tests/gateway/fleet_view_test.cc
+++ b/tests/gateway/fleet_view_test.cc
@@ -159,6 +159,7 @@
   constexpr int kDataCentres = 3;
   constexpr int kHosts = 30;
   std::vector<HostRecord> records;
+  records.reserve(kDataCentres * kHosts);
   for (int d = 0; d < kDataCentres; ++d) {
     for (int n = 0; n < kHosts; ++n) records.push_back(Record(d, n));
   }
@@ -220,6 +221,7 @@
 
 TEST_CASE("a large data centre has a reader of its own, which tells only its hosts") {
   std::vector<HostRecord> records;
+  records.reserve(38);
   for (int n = 0; n < 30; ++n) records.push_back(Record(0, n));
   for (int d = 1; d < 3; ++d) {
     for (int n = 0; n < 4; ++n) records.push_back(Record(d, n));
