--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -1,7 +1,5 @@
 #include "libgateway/gateway_node.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -9,7 +7,9 @@
 namespace mulberry::gateway {
 namespace {
 
+/// How often due work is looked for; a tenth of the shortest bound that hangs on it.
 constexpr Duration kTick = std::chrono::milliseconds(200);
+/// A host that is lost is noticed after four beats, see FleetOptions::silent_after.
 constexpr Duration kBeat = std::chrono::milliseconds(400);
 /// Every so many beats also go to hosts elsewhere that only direct callers.
 constexpr std::uint64_t kFarBeat = 3;
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -70,7 +70,14 @@
   }
   const bool hears = Hears(now);
   const bool leaves_reading = !is_reader && (hears || nobody_reads);
-  tells_others_ = is_reader || (caught_up_ && !hears);
+  const bool tells = is_reader || (caught_up_ && !hears);
+  if (tells != tells_others_) {
+    LogEvent(LogLevel::kInfo, tells ? "reads_for_others" : "leaves_reading_to_others",
+             {{"chosen", is_reader},
+              {"silence_ms", caught_up_ ? ToMilliseconds(now - news_heard_) : 0},
+              {"store_away", nobody_reads}});
+  }
+  tells_others_ = tells;
   operators_.SetSuspended(leaves_reading);
   servers_.SetSuspended(leaves_reading);
   if (servers_.failing() && !hears) entries_.OnStoreLost();
