--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 namespace mulberry::soak {
@@ -30,7 +31,7 @@
 
 void Callers::Start() {
   books_ = {{"here", {}}, {"there", {}}};
-  Tick();
+  asio::post(io_, [this] { Tick(); });
 }
 
 void Callers::Tick() {
@@ -71,19 +72,20 @@
   gateway::LinkRequest request;
   request.bytes = fmt::format(
       "GET /resolve?Name=h.example&Region=r&Zone={} HTTP/1.1\r\nHost: d\r\n\r\n", data_centre);
-  link.value()->Exchange(std::move(request), [this, id, data_centre](gateway::LinkAnswer answer) {
-    const auto asked_link = running_.extract(id);
-    if (!asked_link.empty()) asked_link.mapped()->Close();
-    sent_.erase(id);
-    if (answer.message.status != kStatusOk) {
-      books_[data_centre].asked = TimePoint();
-      return;
-    }
-    const auto json = nlohmann::json::parse(answer.message.body, nullptr, false);
-    if (json.contains("Addresses")) {
-      books_[data_centre].addresses = json["Addresses"].get<std::vector<std::string>>();
-    }
-  });
+  link.value()->Exchange(
+      std::move(request), [this, id, data_centre](const gateway::LinkAnswer& answer) {
+        const auto asked_link = running_.extract(id);
+        if (!asked_link.empty()) asked_link.mapped()->Close();
+        sent_.erase(id);
+        if (answer.message.status != kStatusOk) {
+          books_[data_centre].asked = TimePoint();
+          return;
+        }
+        const auto json = nlohmann::json::parse(answer.message.body, nullptr, false);
+        if (json.contains("Addresses")) {
+          books_[data_centre].addresses = json["Addresses"].get<std::vector<std::string>>();
+        }
+      });
 }
 
 void Callers::Send(const std::string& data_centre) {
@@ -103,18 +105,19 @@
       "{} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\nX-Request-Deadline: {}\r\n",
       sent.unsafe ? "POST /write/x" : "GET /read/x", id, kDeadlineMs);
   request.bytes += sent.unsafe ? "Content-Length: 4\r\n\r\nbody" : "\r\n";
-  link.value()->Exchange(std::move(request), [this, id, address](gateway::LinkAnswer answer) {
-    const auto used = running_.extract(id);
-    if (!used.empty()) links_.Give(address, used.mapped());
-    Sent& done = sent_[id];
-    done.ended = MonotonicClock::now();
-    if (answer.end != gateway::LinkEnd::kAnswered) return;
-    done.status = answer.message.status;
-    done.body = answer.message.body;
-    const std::string* signature =
-        gateway::FindHeader(answer.message.headers, "X-Response-Signature");
-    if (signature != nullptr) done.signature = *signature;
-  });
+  link.value()->Exchange(std::move(request),
+                         [this, id, address](const gateway::LinkAnswer& answer) {
+                           const auto used = running_.extract(id);
+                           if (!used.empty()) links_.Give(address, used.mapped());
+                           Sent& done = sent_[id];
+                           done.ended = MonotonicClock::now();
+                           if (answer.end != gateway::LinkEnd::kAnswered) return;
+                           done.status = answer.message.status;
+                           done.body = answer.message.body;
+                           const std::string* signature =
+                               gateway::FindHeader(answer.message.headers, "X-Response-Signature");
+                           if (signature != nullptr) done.signature = *signature;
+                         });
 }
 
 }  // namespace mulberry::soak
