A signal to reload during the start no longer ends the process

The handler was set up after the settings were read, so that the signal had its default effect. On the platform settings change and hosts are restarted at the same time.

Change: the signal is caught before the settings are read.

Ruled out: an exit of the program's own (status is minus the signal).

--- a/src/mulberryd/main.cc
+++ b/src/mulberryd/main.cc
@@ -76,17 +76,16 @@
   });
 }
 
-int RunGateway(const gateway::GatewaySettings& settings, const std::string& file) {
+int RunGateway(asio::io_context& io, asio::signal_set& reload_signals,
+               const gateway::GatewaySettings& settings, const std::string& file) {
   LogLevel level = LogLevel::kInfo;
   ParseLogLevel(settings.log_level, &level);
   ConfigureLog(level, "mulberryd", LogOutput::kBufferedStdout);
-  asio::io_context io(1);
   const StartId start = NewStartId();
   const auto adapter = platform::MakeAdapter();
   gateway::GatewayNode node(io, settings, *adapter, start);
   asio::signal_set signals(io, SIGTERM, SIGINT);
   StopOnSignal(signals, node);
-  asio::signal_set reload_signals(io, SIGHUP);
   ReloadOnSignal(reload_signals, file, node);
   LogEvent(LogLevel::kInfo, "started",
            {{"host", settings.host.str()},
@@ -104,6 +103,10 @@
 }
 
 int MainGateway(const std::string& file) {
+  asio::io_context io(1);
+  // Before the settings are read, so that a change during the start is neither lost nor ends the
+  // process.
+  asio::signal_set reload_signals(io, SIGHUP);
   const auto settings = gateway::LoadGatewaySettings(file);
   if (!settings) {
     std::fprintf(stderr, "mulberryd: %s\n", settings.error().message.c_str());
@@ -113,7 +116,7 @@
     std::printf("%s: ok\n", file.c_str());
     return 0;
   }
-  return RunGateway(settings.value(), file);
+  return RunGateway(io, reload_signals, settings.value(), file);
 }
 
 int Main(int argc, char** argv) {
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <thread>
 
 namespace mulberry::soak {
 namespace {
@@ -21,6 +22,21 @@
   std::exit(2);
 }
 
+/// Waits until a program catches a signal; while it is being loaded, no program can, and the signal
+/// would end it.
+void AwaitCatch(pid_t pid, int signal) {
+  constexpr int kMostTries = 40;
+  for (int i = 0; i < kMostTries; ++i) {
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (!line.starts_with("SigCgt:")) continue;
+      const std::uint64_t caught = std::stoull(line.substr(7), nullptr, 16);
+      if ((caught >> static_cast<unsigned>(signal - 1) & 1U) != 0) return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
+
 std::string Route(const std::string& name, const std::string& type, const std::string& service) {
   return fmt::format(
       R"({{"ResourceType":"Routes","Metadata":{{"Name":"{0}"}},"Spec":{{"Host":"h.example",)"
@@ -93,7 +109,10 @@
 
 void Fleet::Signal(Host& host, int signal) {
   if (signal == SIGKILL || signal == SIGTERM) host.expected = false;
-  if (signal == SIGHUP) WriteSettings(host);
+  if (signal == SIGHUP) {
+    WriteSettings(host);
+    AwaitCatch(host.process.pid(), signal);
+  }
   host.process.Signal(signal);
 }
 
