--- a/src/libgateway/caller_server.cc
+++ b/src/libgateway/caller_server.cc
@@ -24,6 +24,7 @@
     case ReadError::kBodyTooLarge:
       return "HTTP/1.1 413 Content Too Large\r\n";
     case ReadError::kMalformed:
+    case ReadError::kMemoryFull:
     case ReadError::kNone:
       break;
   }
@@ -39,7 +40,7 @@
       : server_(server),
         socket_(std::move(socket)),
         reader_(HttpReader::Kind::kRequest,
-                {server.limits_.max_head_bytes, server.limits_.max_body_bytes}),
+                {server.limits_.max_head_bytes, server.limits_.max_body_bytes, server.memory_}),
         last_active_(MonotonicClock::now()) {}
 
   void Start() {
@@ -51,8 +52,10 @@
 
   void Respond(ExchangeId exchange, std::string head, const std::string& body, bool close);
   void Sweep(TimePoint now);
+  /// Reads what has arrived until there is a request.
+  void ReadArrived();
   bool idle() const {
-    return pending_responses_.empty() && write_buffer_.empty() && !reader_.started();
+    return !lingering_ && pending_responses_.empty() && write_buffer_.empty() && !reader_.started();
   }
   void Close();
 
@@ -64,12 +67,15 @@
     bool closes_connection = false;  ///< The connection is closed after this response.
     bool ready = false;              ///< The response can be written.
     std::string bytes;
+    MemoryReservation memory;  ///< For `bytes`.
   };
 
   void WaitRead();
-  void OnReadable();
+  /// Returns false when nothing has arrived or the connection is closed.
+  bool ReadSome();
   void ParseInput(std::string_view bytes);
   void DispatchRequest();
+  void RefuseForMemory();
   void Reject(const char* head);
   void Flush();
   void Write();
@@ -82,8 +88,11 @@
   std::string unparsed_;           ///< Bytes read but not yet parsed.
   std::string write_buffer_;       ///< Bytes being written.
   std::string next_write_buffer_;  ///< Bytes to write next.
+  /// For the bytes in both buffers, until both are written.
+  std::vector<MemoryReservation> write_memory_;
   TimePoint last_active_;
   TimePoint request_started_;
+  TimePoint linger_started_;
   bool waiting_for_input_ = false;
   bool closed_ = false;
   bool no_more_requests_ = false;
@@ -102,32 +111,37 @@
                          self->Close();
                          return;
                        }
-                       self->OnReadable();
+                       self->ReadSome();
+                       // A connection with many pending requests is not read, which bounds the
+                       // unparsed bytes.
+                       if (self->unparsed_.size() < kReadBufferBytes) self->WaitRead();
                      });
 }
 
-void CallerSession::OnReadable() {
+void CallerSession::ReadArrived() {
+  const auto self = shared_from_this();
+  while (idle() && ReadSome()) {
+  }
+}
+
+bool CallerSession::ReadSome() {
   auto& buffer = SharedReadBuffer();
   asio::error_code error;
   const std::size_t bytes = socket_.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block) {
-    WaitRead();
-    return;
-  }
+  if (error == asio::error::would_block) return false;
   if (error) {
     Close();
-    return;
+    return false;
   }
+  last_active_ = MonotonicClock::now();
   if (!lingering_ && !no_more_requests_) {
-    last_active_ = MonotonicClock::now();
     if (unparsed_.empty() && pending_responses_.size() < kMaxPipelinedRequests) {
       ParseInput({buffer.data(), bytes});
     } else {
       unparsed_.append(buffer.data(), bytes);
     }
   }
-  // A connection with many pending requests is not read, which bounds the unparsed bytes.
-  if (unparsed_.size() < kReadBufferBytes) WaitRead();
+  return !closed_;
 }
 
 void CallerSession::ParseInput(std::string_view bytes) {
@@ -139,6 +153,10 @@
     const bool had_started = reader_.started();
     bytes.remove_prefix(reader_.Read(bytes));
     if (!had_started && reader_.started()) request_started_ = last_active_;
+    if (reader_.error() == ReadError::kMemoryFull) {
+      RefuseForMemory();
+      return;
+    }
     if (reader_.error() != ReadError::kNone) {
       Reject(ErrorResponseHead(reader_.error()));
       return;
@@ -162,9 +180,26 @@
   response.is_head = request.method == "HEAD";
   response.closes_connection = !request.keep_alive;
   no_more_requests_ = response.closes_connection;
-  pending_responses_.push_back(response);
-  server_.exchanges_.emplace(response.id, shared_from_this());
-  server_.events_.OnRequest(response.id, std::move(request), MonotonicClock::now());
+  const ExchangeId id = response.id;
+  pending_responses_.push_back(std::move(response));
+  server_.exchanges_.emplace(id, shared_from_this());
+  server_.events_.OnRequest(id, std::move(request), MonotonicClock::now());
+}
+
+/// Refuses the request whose head was read. The rest of its body is not read.
+void CallerSession::RefuseForMemory() {
+  no_more_requests_ = true;
+  PendingResponse response;
+  response.id = server_.next_exchange_++;
+  response.closes_connection = true;
+  const ExchangeId id = response.id;
+  pending_responses_.push_back(std::move(response));
+  server_.exchanges_.emplace(id, shared_from_this());
+  HttpMessage head = std::move(reader_.message());
+  head.body_memory.Release();
+  head.body.clear();
+  reader_.Reset();
+  server_.events_.OnMemoryFull(id, head);
 }
 
 void CallerSession::Reject(const char* head) {
@@ -179,10 +214,15 @@
 
 void CallerSession::Respond(ExchangeId exchange, std::string head, const std::string& body,
                             bool close) {
+  if (server_.draining_ && !pending_responses_.empty()) {
+    // The requests behind this one may be running, so the close waits for their responses.
+    no_more_requests_ = true;
+    pending_responses_.back().closes_connection = true;
+  }
   for (PendingResponse& response : pending_responses_) {
     if (response.id != exchange || response.ready) continue;
     response.ready = true;
-    response.closes_connection = response.closes_connection || close || server_.draining_;
+    response.closes_connection = response.closes_connection || close;
     response.bytes = std::move(head);
     if (response.is_head) {
       // The head already states the Content-Length that a GET would have.
@@ -192,6 +232,9 @@
     if (response.closes_connection) AppendHeader(response.bytes, "Connection", "close");
     response.bytes += "\r\n";
     if (!response.is_head) response.bytes += body;
+    if (server_.memory_ != nullptr) {
+      response.memory = server_.memory_->Reserve(response.bytes.size());
+    }
     break;
   }
   Flush();
@@ -204,8 +247,13 @@
   while (!pending_responses_.empty() && pending_responses_.front().ready && !close_when_written_) {
     PendingResponse response = std::move(pending_responses_.front());
     pending_responses_.pop_front();
-    if (not_writing) write_buffer_ += response.bytes;
-    if (!not_writing) next_write_buffer_ += response.bytes;
+    std::string& buffer = not_writing ? write_buffer_ : next_write_buffer_;
+    if (buffer.empty()) {
+      buffer = std::move(response.bytes);
+    } else {
+      buffer += response.bytes;
+    }
+    write_memory_.push_back(std::move(response.memory));
     if (response.closes_connection) close_when_written_ = true;
   }
   if (not_writing && !write_buffer_.empty()) Write();
@@ -242,6 +290,7 @@
     return;
   }
   write_buffer_.shrink_to_fit();
+  write_memory_.clear();
   if (close_when_written_) {
     // Later requests on this connection are not processed; the close tells the caller so. The
     // connection is read until the caller closes it; otherwise a reset could truncate the response.
@@ -249,6 +298,8 @@
       if (server_.exchanges_.erase(response.id) > 0) server_.events_.OnDisconnected(response.id);
     }
     lingering_ = true;
+    linger_started_ = last_active_;
+    unparsed_.clear();
     asio::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     WaitRead();
@@ -262,11 +313,13 @@
 }
 
 void CallerSession::Sweep(TimePoint now) {
-  /// Time for the caller to close its side of the connection.
+  /// Time for the caller to close its side of the connection, since its last bytes and in total.
   constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+  constexpr Duration kMaxLingerTime = std::chrono::seconds(5);
   if (closed_) return;
   if (lingering_) {
-    if (now - last_active_ > kLingerTimeout) Close();
+    const bool silent = now - last_active_ > kLingerTimeout;
+    if (silent || now - linger_started_ > kMaxLingerTime) Close();
     return;
   }
   if (reader_.started() && !reader_.head_complete() &&
@@ -295,8 +348,11 @@
   server_.sessions_.erase(this);
 }
 
-CallerServer::CallerServer(asio::io_context& io, CallerEvents& events)
-    : io_(io), events_(events), acceptor_(io, [this](asio::ip::tcp::socket socket) {
+CallerServer::CallerServer(asio::io_context& io, CallerEvents& events, MemoryBudget* memory)
+    : io_(io),
+      events_(events),
+      memory_(memory),
+      acceptor_(io, [this](asio::ip::tcp::socket socket) {
         auto session = std::make_shared<CallerSession>(*this, std::move(socket));
         sessions_.emplace(session.get(), session);
         session->Start();
@@ -328,7 +384,10 @@
   for (const auto& [key, session] : sessions_) {
     if (session->idle()) idle_sessions.push_back(session);
   }
-  for (const auto& session : idle_sessions) session->Close();
+  for (const auto& session : idle_sessions) {
+    session->ReadArrived();
+    if (session->idle()) session->Close();
+  }
 }
 
 void CallerServer::Sweep(TimePoint now) {
--- a/src/libgateway/caller_server.h
+++ b/src/libgateway/caller_server.h
@@ -27,6 +27,9 @@
   virtual void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) = 0;
   /// The caller of a pending request has disconnected.
   virtual void OnDisconnected(ExchangeId exchange) = 0;
+  /// There is no memory for the body of a request, whose head has arrived. Respond with a refusal
+  /// before returning; its connection is closed after it.
+  virtual void OnMemoryFull(ExchangeId exchange, const HttpMessage& head) = 0;
 };
 
 class CallerSession;
@@ -36,23 +39,28 @@
 /// for the thread that runs the io_context, which must outlive it.
 class CallerServer {
  public:
-  CallerServer(asio::io_context& io, CallerEvents& events);
+  /// `memory`, for the bodies of requests and for responses until they are written, must outlive
+  /// the server; null for none.
+  CallerServer(asio::io_context& io, CallerEvents& events, MemoryBudget* memory);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
 
   /// Errors: kUnavailable with the address and the system's message.
   Result<void> Open(const std::string& ip, std::uint16_t port);
+  /// Accepts the connections that are waiting, then closes the port.
   void StopAccepting();
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
-  /// From now on, every response closes its connection.
+  /// From now on, a connection is closed after the responses to the requests that were read from it
+  /// before the next response.
   void SetDraining() { draining_ = true; }
-  /// Closes the connections on which no request is being received, processed or answered.
+  /// Reads what has arrived, then closes the connections on which no request is being received,
+  /// processed or answered.
   void CloseIdle();
 
   /// Sends a response with a head (status line and header lines, without the blank line,
   /// Content-Length and Connection) and a body. Does nothing if the exchange is unknown or has a
-  /// response.
+  /// response. `close`: the connection is closed after it.
   void Respond(ExchangeId exchange, std::string head, const std::string& body, bool close = false);
 
   /// Closes connections that exceed a time limit; call a few times a second.
@@ -65,6 +73,7 @@
   friend class CallerSession;
   asio::io_context& io_;
   CallerEvents& events_;
+  MemoryBudget* memory_;
   CallerLimits limits_;
   bool draining_ = false;
   ExchangeId next_exchange_ = 1;
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -25,13 +25,14 @@
 constexpr double kMinRemainingFraction = 0.4;
 /// Assumed answer time of a service before its first answer.
 constexpr Duration kInitialServiceTime = std::chrono::milliseconds(50);
-/// Responses are buffered whole; a larger one could exhaust the memory of a small host.
+/// Responses are buffered whole; the memory budget allows less on a small host.
 constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
 /// A hedge is sent after this multiple of the usual answer time.
 constexpr double kHedgeDelayFactor = 1.4;
 
-/// Retry-After of a host without a configuration; a start takes about this long.
-constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(200);
+/// Retry-After of a host without a configuration, or without memory for a body; a start, and most
+/// requests, take about this long.
+constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(200);
 
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
@@ -43,7 +44,9 @@
 
 Forwarder::Forwarder(Dependencies deps)
     : deps_(deps),
-      links_(deps.io, {.max_head_bytes = 64 * 1024, .max_body_bytes = kMaxResponseBytes}),
+      links_(deps.io, {.max_head_bytes = 64 * 1024,
+                       .max_body_bytes = kMaxResponseBytes,
+                       .memory = &deps.memory}),
       timers_(deps.io, [this](CallId id, TimePoint now) { OnCallTimer(id, now); }) {}
 
 Forwarder::~Forwarder() {
@@ -71,6 +74,7 @@
   if (const std::string* id = FindHeader(request.headers, names.request_id)) {
     call->request_id = *id;
   }
+  call->body = std::make_shared<const std::string>(std::move(request.body));
   call->request = std::move(request);
   if (!Admit(*call)) return;
   Call& admitted = *call;
@@ -114,6 +118,11 @@
   return true;
 }
 
+void Forwarder::OnMemoryFull(ExchangeId exchange, const HttpMessage& head) {
+  const std::string* id = FindHeader(head.headers, deps_.adapter.headers().request_id);
+  Refuse(exchange, kStatusUnavailable, "memory_full", id == nullptr ? "" : *id);
+}
+
 void Forwarder::OnDisconnected(ExchangeId exchange) {
   const auto found = calls_by_exchange_.find(exchange);
   if (found == calls_by_exchange_.end()) return;
@@ -226,10 +235,11 @@
   call.tried.insert(choice.id);
   queues_[call.service].OnDispatch(now);
   ExchangeRequest request;
-  request.bytes =
-      WriteServerRequest(call.request, deps_.adapter.headers(), choice.id, call.deadline - now);
+  request.head = WriteServerRequestHead(call.request, call.body->size(), deps_.adapter.headers(),
+                                        choice.id, call.deadline - now);
+  if (!call.body->empty()) request.body = call.body;
   request.is_head = call.request.method == "HEAD";
-  request.id_header = call.request_id.empty() ? "" : deps_.adapter.headers().request_id;
+  request.id_header = deps_.adapter.headers().request_id;
   request.id = call.request_id;
   request.connect_timeout = kConnectTimeout;
   LogEvent(LogLevel::kDebug, "sent",
@@ -399,7 +409,7 @@
             {"reason", std::string(reason)},
             {"version", deps_.config.version().value()}});
   std::optional<Duration> retry_after_header;
-  if (status == kStatusUnavailable) retry_after_header = kNotReadyRetryAfter;
+  if (status == kStatusUnavailable) retry_after_header = kRefusalRetryAfter;
   server_->Respond(
       exchange,
       WriteLocalResponseHead(status, retry_after_header, request_id, deps_.adapter.headers()),
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -35,6 +35,8 @@
     ActiveConfig& config;
     ServerPool& pool;
     GatewayMetrics& metrics;
+    /// For the bodies of responses.
+    MemoryBudget& memory;
     RetryLimits retries;
   };
 
@@ -49,6 +51,7 @@
 
   void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) override;
   void OnDisconnected(ExchangeId exchange) override;
+  void OnMemoryFull(ExchangeId exchange, const HttpMessage& head) override;
 
   /// Dispatches queued calls again after capacity may have become available.
   void DispatchQueued();
@@ -72,7 +75,8 @@
   struct Call {
     CallId id;
     ExchangeId exchange = 0;
-    HttpMessage request;
+    HttpMessage request;  ///< Its body is in `body`.
+    std::shared_ptr<const std::string> body;
     std::string request_id;
     std::shared_ptr<const Route> route;
     ServiceName service;
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -41,6 +41,10 @@
 /// Weight of the newest sample in the moving average of the request rate; small so that a short
 /// burst changes little.
 constexpr double kRequestRateSmoothing = 0.1;
+/// Part of the process's memory for the bodies of requests and responses. A body takes up to twice
+/// its size while it grows, and the rest of the process needs less than a fifth.
+constexpr double kBodyMemoryFraction = 0.4;
+constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
 /// Time for the last responses to leave the sockets before the process exits.
 constexpr Duration kFinalFlushTime = std::chrono::milliseconds(50);
 
@@ -66,6 +70,11 @@
   return options;
 }
 
+std::size_t BodyMemory(const GatewaySettings& settings) {
+  const auto bytes = static_cast<double>(settings.memory_mb) * kBytesPerMegabyte;
+  return static_cast<std::size_t>(bytes * kBodyMemoryFraction);
+}
+
 PoolOptions MakePoolOptions(const GatewaySettings& settings, StartId start) {
   PoolOptions options;
   options.data_centre = settings.data_centre;
@@ -83,6 +92,7 @@
       settings_(settings),
       adapter_(adapter),
       start_(start),
+      memory_(BodyMemory(settings)),
       pool_(MakePoolOptions(settings, start)),
       fleet_(MakeFleetOptions(settings)),
       store_(io, settings.store_address),
@@ -93,7 +103,7 @@
                    UpdateFleetState(MonotonicClock::now());
                  }),
       peer_channel_(io, [this](const PeerMessage& message) { OnPeerMessage(message); }),
-      forwarder_({io, adapter, config_, pool_, metrics_, settings.retries}),
+      forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries}),
       health_checker_(io, adapter, pool_, metrics_),
       load_report_sync_({io, pool_, fleet_, forwarder_, health_checker_, peer_channel_,
                          [this] { return OwnHeartbeat(); }}),
@@ -105,7 +115,7 @@
                       [this](const HttpMessage&) {
                         return HttpResponse{kStatusOk, "text/plain", metrics_.Text()};
                       }),
-      caller_server_(io, forwarder_),
+      caller_server_(io, forwarder_, &memory_),
       tick_timer_(io),
       heartbeat_timer_(io),
       exit_timer_(io) {
@@ -316,7 +326,7 @@
   forwarder_.DispatchQueued();
   UpdateGauges();
   FlushLog();
-  if (shutting_down_ && ShutdownIsDue(now)) {
+  if (shutting_down_ && CanFinishShutdown(now)) {
     FinishShutdown();
     return;
   }
@@ -330,6 +340,8 @@
   metrics_.SetGauge("mulberry_connections", "Open connections of callers",
                     static_cast<double>(caller_server_.connections()));
   metrics_.SetGauge("mulberry_calls", "Requests in work", static_cast<double>(forwarder_.calls()));
+  metrics_.SetGauge("mulberry_body_bytes", "Memory reserved for bodies",
+                    static_cast<double>(memory_.used()));
   metrics_.SetGauge("mulberry_servers", "Backend servers known", static_cast<double>(pool_.size()));
   metrics_.SetGauge("mulberry_config_version", "Version in force",
                     static_cast<double>(config_.version().value()));
@@ -344,6 +356,8 @@
       settings.metrics_port != settings_.metrics_port || settings.host != settings_.host ||
       settings.ip != settings_.ip;
   if (changed) LogEvent(LogLevel::kWarning, "reload_needs_restart", {{"part", "addresses, name"}});
+  settings_.memory_mb = settings.memory_mb;
+  memory_.SetLimit(BodyMemory(settings));
   settings_.leaving_bound = settings.leaving_bound;
   store_view_.SetLeavingBound(settings.leaving_bound);
   settings_.longest_ttl = settings.longest_ttl;
@@ -376,13 +390,16 @@
   SendHeartbeatNow();
 }
 
-bool GatewayNode::ShutdownIsDue(TimePoint now) const {
+bool GatewayNode::CanFinishShutdown(TimePoint now) {
   const Duration passed = now - shutdown_started_at_;
-  if (passed >= Duration(static_cast<std::int64_t>(static_cast<double>(settings_.grace.count()) *
-                                                   kMaxShutdownFraction))) {
-    return true;
-  }
-  return passed >= kMinShutdownTime && caller_server_.pending_requests() == 0;
+  const auto longest = Duration(static_cast<std::int64_t>(
+      static_cast<double>(settings_.grace.count()) * kMaxShutdownFraction));
+  if (passed >= longest) return true;
+  if (passed < kMinShutdownTime || caller_server_.pending_requests() > 0) return false;
+  // Requests that have arrived by now are answered first; with the port closed no others follow.
+  caller_server_.StopAccepting();
+  caller_server_.CloseIdle();
+  return caller_server_.connections() == 0;
 }
 
 void GatewayNode::FinishShutdown() {
@@ -391,7 +408,6 @@
             {"unanswered", caller_server_.pending_requests()}});
   FlushLog();
   caller_server_.StopAccepting();
-  caller_server_.CloseIdle();
   exit_timer_.expires_after(kFinalFlushTime);
   exit_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) io_.stop();
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -65,13 +65,14 @@
   bool Ready() const;
   double ColdShare(TimePoint now) const;
   void UpdateGauges();
-  bool ShutdownIsDue(TimePoint now) const;
+  bool CanFinishShutdown(TimePoint now);
   void FinishShutdown();
 
   asio::io_context& io_;
   GatewaySettings settings_;
   const PlatformAdapter& adapter_;
   StartId start_;
+  MemoryBudget memory_;
   GatewayMetrics metrics_;
   ActiveConfig config_;
   ServerPool pool_;
--- a/src/libgateway/gateway_settings.cc
+++ b/src/libgateway/gateway_settings.cc
@@ -16,6 +16,7 @@
       {"host", "data_centre", kRequired, ItemNameParser(&s->data_centre)},
       {"host", "ip", kRequired, IpAddressParser(&s->ip)},
       {"host", "processor_share", false, DecimalParser(0.001, 1024, "cores", &s->processor_share)},
+      {"host", "memory_mb", false, CountParser(32, 1'048'576, "MiB", &s->memory_mb)},
       {"host", "link_mbps", false, DecimalParser(0.01, 1e6, "megabits per second", &s->link_mbps)},
       {"listen", "callers", kRequired, AddressParser(&s->callers)},
       {"listen", "readiness", kRequired, AddressParser(&s->readiness)},
--- a/src/libgateway/gateway_settings.h
+++ b/src/libgateway/gateway_settings.h
@@ -16,6 +16,8 @@
   std::string ip;
   /// Processor capacity of this host, in cores.
   double processor_share = 1;
+  /// Memory that this process may use, in MiB; the bodies that it holds get a fixed part of it.
+  std::uint32_t memory_mb = 1024;
   double link_mbps = 1000;  ///< Bandwidth of this host's link, in megabits per second.
   // [listen]
   std::string callers;  ///< "ip:port", as are the next two.
--- a/src/libgateway/health_checker.cc
+++ b/src/libgateway/health_checker.cc
@@ -47,9 +47,9 @@
   if (!connection) return;
   running_checks_[target.id] = {connection.value(), now};
   ExchangeRequest request;
-  request.bytes = "GET " + target.health_path + " HTTP/1.1\r\n";
-  AppendHeader(request.bytes, "Host", target.address);
-  request.bytes += "\r\n";
+  request.head = "GET " + target.health_path + " HTTP/1.1\r\n";
+  AppendHeader(request.head, "Host", target.address);
+  request.head += "\r\n";
   request.connect_timeout = kCheckConnectTimeout;
   connection.value()->Exchange(std::move(request), [this, target](const ExchangeResult& result) {
     OnResult(target, result);
--- a/src/libgateway/http_client_connection.cc
+++ b/src/libgateway/http_client_connection.cc
@@ -2,7 +2,7 @@
 
 #include <sys/socket.h>
 
-#include <array>
+#include <algorithm>
 #include <asio/write.hpp>
 #include <utility>
 
@@ -19,6 +19,21 @@
   return buffer;
 }
 
+const char* ReadErrorText(ReadError error) {
+  switch (error) {
+    case ReadError::kHeadTooLarge:
+      return "response head too large";
+    case ReadError::kBodyTooLarge:
+      return "response body too large";
+    case ReadError::kMemoryFull:
+      return "no memory for the response body";
+    case ReadError::kMalformed:
+    case ReadError::kNone:
+      break;
+  }
+  return "malformed response";
+}
+
 /// Reads "timeout=SECONDS" of a Keep-Alive header; zero when absent.
 Duration KeepAliveTimeout(const std::string* header) {
   if (header == nullptr) return Duration::zero();
@@ -56,6 +71,13 @@
   }
 }
 
+std::array<asio::const_buffer, 2> HttpClientConnection::RequestBytes(std::size_t offset) const {
+  const std::size_t head_offset = std::min(offset, request_.head.size());
+  asio::const_buffer body;
+  if (request_.body) body = asio::buffer(*request_.body) + (offset - head_offset);
+  return {asio::buffer(request_.head) + head_offset, body};
+}
+
 void HttpClientConnection::Connect() {
   asio::error_code ignored;
   socket_.open(peer_.protocol(), ignored);
@@ -83,7 +105,7 @@
 void HttpClientConnection::Write() {
   // Most requests fit into the socket's buffer.
   asio::error_code error;
-  const std::size_t sent = socket_.write_some(asio::buffer(request_.bytes), error);
+  const std::size_t sent = socket_.write_some(RequestBytes(0), error);
   if (error && error != asio::error::would_block) {
     // Posted, so that the callback does not run inside Exchange.
     asio::post(io_, [self = shared_from_this(), error] {
@@ -92,12 +114,13 @@
     return;
   }
   write_started_ = sent > 0;
-  if (sent == request_.bytes.size()) {
+  const auto rest = RequestBytes(sent);
+  if (asio::buffer_size(rest) == 0) {
     OnWritten({}, sent);
     return;
   }
   asio::async_write(
-      socket_, asio::buffer(request_.bytes.data() + sent, request_.bytes.size() - sent),
+      socket_, rest,
       [self = shared_from_this()](const asio::error_code& failure, std::size_t bytes) {
         if (!self->closed_) self->OnWritten(failure, bytes);
       });
@@ -160,7 +183,7 @@
   while (!bytes.empty()) {
     bytes.remove_prefix(reader_.Read(bytes));
     if (reader_.error() != ReadError::kNone) {
-      Finish(ExchangeOutcome::kFailedAfterSend, "malformed response");
+      Finish(ExchangeOutcome::kFailedAfterSend, ReadErrorText(reader_.error()));
       return false;
     }
     if (!reader_.complete()) return true;
@@ -177,7 +200,10 @@
   const bool interim = message.status >= 100 && message.status < 200;
   const std::string* id =
       request_.id_header.empty() ? nullptr : FindHeader(message.headers, request_.id_header);
-  const bool for_other_request = id != nullptr && *id != request_.id;
+  // A request without an id is not the one that a response with an id answers, unless the server
+  // chooses ids itself, which only a connection's first response can show.
+  const bool may_be_servers_choice = request_.id.empty() && finished_exchanges_ == 0;
+  const bool for_other_request = id != nullptr && *id != request_.id && !may_be_servers_choice;
   if (interim || for_other_request) {
     if (for_other_request) reusable_ = true;
     reader_.Reset();
--- a/src/libgateway/http_client_connection.h
+++ b/src/libgateway/http_client_connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -31,11 +33,15 @@
 
 /// One request on a connection.
 struct ExchangeRequest {
-  std::string bytes;
+  std::string head;
+  /// Sent after the head. Shared, so that further attempts need no copy; null without a body.
+  std::shared_ptr<const std::string> body;
   bool is_head = false;
   /// Responses with another id in the header `id_header` belong to an earlier request and are
   /// skipped. Empty: every response is accepted.
   std::string id_header;
+  /// Empty for a request without an id; a response with any id is then skipped on a connection that
+  /// has been used before.
   std::string id;
   Duration connect_timeout = std::chrono::milliseconds(500);
 };
@@ -69,6 +75,8 @@
   bool SocketIsIdle();
 
  private:
+  /// The bytes of the request from `offset` on.
+  std::array<asio::const_buffer, 2> RequestBytes(std::size_t offset) const;
   void Connect();
   void Write();
   void OnWritten(const asio::error_code& error, std::size_t bytes);
--- a/src/libgateway/http_message.h
+++ b/src/libgateway/http_message.h
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "libgateway/memory_budget.h"
+
 namespace mulberry::gateway {
 
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
@@ -17,6 +19,8 @@
   std::string reason;  ///< Responses only.
   HeaderList headers;
   std::string body;
+  /// Memory reserved for `body`; empty without a budget.
+  MemoryReservation body_memory;
   bool keep_alive = true;
   /// True when the body ended with the connection.
   bool ends_with_connection = false;
--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -11,8 +11,11 @@
 
 /// Bytes of a header line besides name and value.
 constexpr std::size_t kHeaderLineOverhead = 4;
-/// Maximum bytes reserved for a body in advance, since a stated length may be false.
+/// Maximum bytes allocated for a body in advance without a memory budget, since a stated length may
+/// be false.
 constexpr std::size_t kMaxBodyReserve = 64 * 1024;
+/// A body of unknown length reserves memory in steps of this size.
+constexpr std::size_t kBodyMemoryStep = 64 * 1024;
 
 bool IsTokenCharacter(unsigned char c) {
   constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
@@ -170,6 +173,15 @@
   return hosts <= 1;
 }
 
+bool HttpReader::ReserveBody(std::size_t bytes) {
+  if (limits_.memory == nullptr) return true;
+  const auto use =
+      kind_ == Kind::kRequest ? MemoryBudget::Use::kRequest : MemoryBudget::Use::kResponse;
+  if (limits_.memory->TryGrow(message_.body_memory, bytes, use)) return true;
+  error_ = ReadError::kMemoryFull;
+  return false;
+}
+
 int HttpReader::OnHead(http_parser* parser) {
   HttpReader* self = ReaderOf(parser);
   self->head_complete_ = true;
@@ -186,8 +198,11 @@
     self->error_ = ReadError::kBodyTooLarge;
     return -1;
   }
-  if (has_length) {
-    message.body.reserve(std::min<std::size_t>(parser->content_length, kMaxBodyReserve));
+  if (has_length && !self->expects_no_body_) {
+    const auto length = static_cast<std::size_t>(parser->content_length);
+    if (!self->ReserveBody(length)) return -1;
+    const bool reserved = self->limits_.memory != nullptr;
+    message.body.reserve(reserved ? length : std::min(length, kMaxBodyReserve));
   }
   if (self->kind_ == Kind::kRequest) {
     message.method = http_method_str(static_cast<http_method>(parser->method));
@@ -207,6 +222,10 @@
     self->error_ = ReadError::kBodyTooLarge;
     return 1;
   }
+  if (body.size() + length > self->message_.body_memory.bytes() &&
+      !self->ReserveBody(body.size() + std::max(length, kBodyMemoryStep))) {
+    return 1;
+  }
   body.append(at, length);
   return 0;
 }
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -11,11 +11,19 @@
 namespace mulberry::gateway {
 
 /// Why a message was rejected.
-enum class ReadError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
+enum class ReadError {
+  kNone,
+  kMalformed,
+  kHeadTooLarge,
+  kBodyTooLarge,
+  kMemoryFull,  ///< The memory budget does not suffice for the body.
+};
 
 struct ReadLimits {
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_body_bytes = 1024 * 1024;
+  /// Budget for bodies; must outlive the reader and its messages. Null: only max_body_bytes counts.
+  MemoryBudget* memory = nullptr;
 };
 
 /// Parses the HTTP/1.1 messages of one connection, one at a time. Rejects messages that other
@@ -65,6 +73,8 @@
   /// line.
   bool FindsFoldedLine(std::string_view bytes);
   int AddHeadBytes(std::size_t bytes);
+  /// Reserves memory for a body of `bytes`. Returns false and sets the error if there is none.
+  bool ReserveBody(std::size_t bytes);
   bool IsHeadValid() const;
 
   Kind kind_;
--- a/src/libgateway/http_writer.cc
+++ b/src/libgateway/http_writer.cc
@@ -34,11 +34,12 @@
 
 }  // namespace
 
-std::string WriteServerRequest(const HttpMessage& request, const HeaderNames& names,
-                               const ServerName& target, Duration time_left) {
+std::string WriteServerRequestHead(const HttpMessage& request, std::size_t body_bytes,
+                                   const HeaderNames& names, const ServerName& target,
+                                   Duration time_left) {
   const std::string_view connection_headers = ConnectionHeaderNames(request);
   std::string bytes;
-  bytes.reserve(kTypicalHeadBytes + request.body.size());
+  bytes.reserve(kTypicalHeadBytes);
   bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
   for (const auto& [name, value] : request.headers) {
     if (IsConnectionHeader(name, connection_headers) || EqualsIgnoreCase(name, "content-length") ||
@@ -51,14 +52,13 @@
   AppendHeader(bytes, names.time_left,
                std::to_string(std::max<std::int64_t>(1, ToMilliseconds(time_left))));
   AppendHeader(bytes, names.target_server, target.str());
-  const bool states_length = !request.body.empty() ||
+  const bool states_length = body_bytes > 0 ||
                              FindHeader(request.headers, "content-length") != nullptr ||
                              FindHeader(request.headers, "transfer-encoding") != nullptr;
   if (states_length) {
-    AppendHeader(bytes, "Content-Length", std::to_string(request.body.size()));
+    AppendHeader(bytes, "Content-Length", std::to_string(body_bytes));
   }
   bytes += "\r\n";
-  bytes += request.body;
   return bytes;
 }
 
@@ -66,7 +66,7 @@
                                      bool is_head) {
   const std::string_view connection_headers = ConnectionHeaderNames(message);
   std::string head = fmt::format("HTTP/1.1 {} {}\r\n", message.status, message.reason);
-  head.reserve(kTypicalHeadBytes + message.body.size());
+  head.reserve(kTypicalHeadBytes);
   for (const auto& [name, value] : message.headers) {
     if (IsConnectionHeader(name, connection_headers)) continue;
     if (!is_head && EqualsIgnoreCase(name, "content-length")) continue;
--- a/src/libgateway/http_writer.h
+++ b/src/libgateway/http_writer.h
@@ -9,11 +9,13 @@
 
 namespace mulberry::gateway {
 
-/// Returns the request to send to a server for a caller's request. Replaces the remaining time and
+/// Returns the head of the request to send to a server for a caller's request whose body has
+/// `body_bytes`. Replaces the remaining time and
 /// the target server, and drops the headers of the caller's connection; all else is unchanged.
 /// Thread safety: any thread.
-std::string WriteServerRequest(const HttpMessage& request, const HeaderNames& names,
-                               const ServerName& target, Duration time_left);
+std::string WriteServerRequestHead(const HttpMessage& request, std::size_t body_bytes,
+                                   const HeaderNames& names, const ServerName& target,
+                                   Duration time_left);
 
 /// Returns the head (status line and headers) for relaying a server's response. `is_head`: the
 /// response to a HEAD request, whose Content-Length is kept. Thread safety: any thread.
--- a/src/libgateway/store_client.cc
+++ b/src/libgateway/store_client.cc
@@ -42,13 +42,14 @@
   }
   pending.connection = acquired.value();
   ExchangeRequest request;
-  request.bytes = call.method + " " + call.target + " HTTP/1.1\r\n";
-  AppendHeader(request.bytes, "Host", address_);
-  if (!call.content_type.empty()) AppendHeader(request.bytes, "Content-Type", call.content_type);
+  request.head = call.method + " " + call.target + " HTTP/1.1\r\n";
+  AppendHeader(request.head, "Host", address_);
+  if (!call.content_type.empty()) AppendHeader(request.head, "Content-Type", call.content_type);
   if (call.method != "GET") {
-    AppendHeader(request.bytes, "Content-Length", std::to_string(call.body.size()));
+    AppendHeader(request.head, "Content-Length", std::to_string(call.body.size()));
   }
-  request.bytes += "\r\n" + call.body;
+  request.head += "\r\n";
+  if (!call.body.empty()) request.body = std::make_shared<const std::string>(call.body);
   pending.connection->Exchange(std::move(request), [this, call_id](ExchangeResult result) {
     OnResult(call_id, std::move(result));
   });
--- a/src/libgateway/sync_http_server.cc
+++ b/src/libgateway/sync_http_server.cc
@@ -7,7 +7,7 @@
 namespace mulberry::gateway {
 
 SyncHttpServer::SyncHttpServer(asio::io_context& io, Handler handler)
-    : handler_(std::move(handler)), server_(io, *this) {}
+    : handler_(std::move(handler)), server_(io, *this, nullptr) {}
 
 Result<void> SyncHttpServer::Open(const std::string& address) {
   const auto endpoint = ParseEndpoint(address);
@@ -24,4 +24,7 @@
 
 void SyncHttpServer::OnDisconnected(ExchangeId) {}
 
+// Without a memory budget, only the size limit of a body counts.
+void SyncHttpServer::OnMemoryFull(ExchangeId, const HttpMessage&) {}
+
 }  // namespace mulberry::gateway
--- a/src/libgateway/sync_http_server.h
+++ b/src/libgateway/sync_http_server.h
@@ -29,6 +29,7 @@
 
   void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) override;
   void OnDisconnected(ExchangeId exchange) override;
+  void OnMemoryFull(ExchangeId exchange, const HttpMessage& head) override;
 
  private:
   Handler handler_;
--- a/tests/gateway/caller_server_test.cc
+++ b/tests/gateway/caller_server_test.cc
@@ -24,6 +24,11 @@
     requests.push_back(std::move(request));
   }
   void OnDisconnected(ExchangeId exchange) override { disconnected.push_back(exchange); }
+  void OnMemoryFull(ExchangeId exchange, const HttpMessage&) override {
+    server->Respond(exchange, "HTTP/1.1 503 Service Unavailable\r\n", "");
+  }
+
+  CallerServer* server = nullptr;
 
   std::vector<ExchangeId> exchanges;
   std::vector<HttpMessage> requests;
@@ -31,7 +36,8 @@
 };
 
 struct Fixture {
-  Fixture() : server(io, recorder), caller(io) {
+  Fixture() : server(io, recorder, &memory), caller(io) {
+    recorder.server = &server;
     CallerLimits limits;
     limits.max_head_bytes = 1000;
     limits.max_body_bytes = 1000;
@@ -52,6 +58,7 @@
   }
 
   asio::io_context io;
+  MemoryBudget memory{1 << 20};
   RequestRecorder recorder;
   CallerServer server;
   TestCaller caller;
@@ -101,6 +108,40 @@
   CHECK(caller.received.find("whole body") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(Fixture,
+                  "while draining, a request behind another is answered before the close") {
+  caller.Write("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  caller.Write("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  WaitForRequests(2);
+  server.SetDraining();
+  server.Respond(recorder.exchanges[0], kOk, "first");
+  RunFor(io, milliseconds(20));
+  CHECK(recorder.disconnected.empty());
+  CHECK_FALSE(caller.ended);
+  // A request that comes after the stop has begun is not read; the close tells the caller so.
+  caller.Write("POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  RunFor(io, milliseconds(20));
+  CHECK(recorder.requests.size() == 2);
+  server.Respond(recorder.exchanges[1], kOk, "second");
+  REQUIRE(RunUntil(io, [&] { return caller.ended; }));
+  CHECK(caller.received.find("second") != std::string::npos);
+  CHECK(caller.received.find("Connection: close") > caller.received.find("first"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a request that has arrived when idle connections are closed is read") {
+  SUBCASE("on a kept connection") { RunFor(io, milliseconds(5)); }
+  SUBCASE("on a connection that waits to be accepted") {}
+  caller.Write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server.SetDraining();
+  server.StopAccepting();
+  server.CloseIdle();
+  CHECK(server.pending_requests() == 1);
+  WaitForRequests(1);
+  server.Respond(recorder.exchanges[0], kOk, "answered");
+  WaitForReceived("answered");
+  REQUIRE(RunUntil(io, [&] { return caller.ended; }));
+}
+
 TEST_CASE_FIXTURE(Fixture, "input over a limit is rejected with the status for that limit") {
   SUBCASE("head") {
     caller.Write("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'a') + "\r\n\r\n");
@@ -123,6 +164,52 @@
   CHECK(recorder.requests.empty());
 }
 
+TEST_CASE_FIXTURE(Fixture, "a body without memory is refused at once, and memory is given back") {
+  CallerLimits limits;
+  limits.max_body_bytes = 1 << 20;
+  limits.idle_timeout = std::chrono::seconds(5);
+  server.SetLimits(limits);
+  const auto upload = [](const std::string& framing) {
+    return "POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n";
+  };
+  TestCaller first(io);
+  first.Connect(port);
+  first.Write(upload("Content-Length: 500000"));
+  REQUIRE(RunUntil(io, [&] { return memory.used() == 500000; }));
+  TestCaller second(io);
+  second.Connect(port);
+  SUBCASE("with a length, before the body comes") {
+    second.Write(upload("Content-Length: 400000"));
+  }
+  SUBCASE("in chunks") {
+    second.Write(upload("Transfer-Encoding: chunked"));
+    const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    for (int i = 0; i < 6; ++i) second.Write(chunk);
+  }
+  REQUIRE(RunUntil(io, [&] { return second.received.find("503") != std::string::npos; }));
+  CHECK(second.received.find("Connection: close") != std::string::npos);
+  REQUIRE(RunUntil(io, [&] { return second.ended; }));
+  CHECK(memory.used() == 500000);
+  CHECK(recorder.requests.empty());
+  first.Write(std::string(500000, 'x'));
+  WaitForRequests(1);
+  CHECK(recorder.requests[0].body.size() == 500000);
+  recorder.requests.clear();
+  CHECK(memory.used() == 0);
+  const std::string response(100000, 'r');
+  server.Respond(recorder.exchanges[0], kOk, response);
+  REQUIRE(RunUntil(io, [&] { return first.received.size() > response.size(); }));
+  CHECK(memory.used() == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a caller that leaves while it sends a body gives its memory back") {
+  caller.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\nabc");
+  REQUIRE(RunUntil(io, [&] { return memory.used() == 900; }));
+  caller.Close();
+  CHECK(RunUntil(io, [&] { return memory.used() == 0; }));
+  CHECK(recorder.requests.empty());
+}
+
 TEST_CASE_FIXTURE(Fixture, "an idle connection is kept open for the idle timeout, then closed") {
   RunFor(io, milliseconds(60));
   server.Sweep(MonotonicClock::now());
--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <memory>
 #include <set>
+#include <vector>
 
 #include "fake_adapter.h"
 #include "scripted_server.h"
@@ -28,8 +30,9 @@
                    config,
                    pool,
                    metrics,
+                   memory,
                    {.ratio = 0.2, .window = seconds(10), .slack = 1000}}),
-        server(io, forwarder),
+        server(io, forwarder, &memory),
         caller(io) {
     Config initial;
     initial.version = ConfigVersion(1);
@@ -52,7 +55,7 @@
     AddServer("b", second.address());
     forwarder.SetServer(&server);
     forwarder.SetSlackShare(1);
-    const std::uint16_t port = FreePort(io);
+    port = FreePort(io);
     REQUIRE(server.Open("127.0.0.1", port));
     caller.Connect(port);
   }
@@ -117,11 +120,13 @@
   ActiveConfig config;
   ServerPool pool;
   GatewayMetrics metrics;
+  MemoryBudget memory{8 << 20};
   ScriptedServer first;
   ScriptedServer second;
   Forwarder forwarder;
   CallerServer server;
   TestCaller caller;
+  std::uint16_t port = 0;
   std::set<const void*> seen;
 };
 
@@ -198,6 +203,258 @@
   CHECK(caller.received.find("Retry-After: ") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a late second response never reaches the next caller") {
+  pool.Remove(ServerName("b"));
+  SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
+  const auto at = NextServerConnection();
+  at->Write(Answer(200, "first"));
+  WaitForText("first");
+  const auto requests_on_connection = [&] {
+    std::size_t count = 0;
+    for (std::size_t found = 0;
+         (found = at->received.find("HTTP/1.1\r\n", found)) != std::string::npos; ++found) {
+      ++count;
+    }
+    return count;
+  };
+  SUBCASE("when the next request has no id") {
+    caller.Write("POST /write/2 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(RunUntil(io, [&] { return requests_on_connection() == 2; }));
+    at->Write(Answer(200, "stale"));
+    RunFor(io, milliseconds(20));
+    at->Write("HTTP/1.1 200 OK\r\nSignature: s2\r\nContent-Length: 3\r\n\r\nown");
+    WaitForText("own");
+  }
+  SUBCASE("in pieces") {
+    caller.Write("POST /write/2 HTTP/1.1\r\nHost: h.example\r\nId: 8\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(RunUntil(io, [&] { return requests_on_connection() == 2; }));
+    const std::string stale = Answer(200, "stale");
+    for (const char byte : stale) {
+      at->Write(std::string(1, byte));
+      RunFor(io, milliseconds(1));
+    }
+    at->Write("HTTP/1.1 200 OK\r\nId: 8\r\nSignature: s2\r\nContent-Length: 3\r\n\r\nown");
+    WaitForText("own");
+  }
+  CHECK(caller.received.find("stale") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a refusal without an id on a used connection proves nothing") {
+  SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
+  const auto at = NextServerConnection();
+  at->Write(Answer(200, "first"));
+  WaitForText("first");
+  pool.Remove(ServerName(first.connections.empty() ? "a" : "b"));
+  caller.Write("POST /write/2 HTTP/1.1\r\nHost: h.example\r\nId: 8\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(RunUntil(io, [&] { return at->received.find("/write/2") != std::string::npos; }));
+  // The other server is there again, and could get the request.
+  AddServer(first.connections.empty() ? "a" : "b",
+            first.connections.empty() ? first.address() : second.address());
+  SUBCASE("shed") { at->Write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"); }
+  SUBCASE("misdirected") { at->Write("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"); }
+  WaitForText("HTTP/1.1 502 ");
+  CHECK(RequestsAtServers() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "bytes without end that are no response end with the route's timeout") {
+  SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
+  const auto at = NextServerConnection();
+  std::string start;
+  std::string repeated;
+  milliseconds pause(0);
+  SUBCASE("header lines") {
+    start = "HTTP/1.1 200 OK\r\n";
+    repeated = "X-Filler: " + std::string(1000, 'a') + "\r\n";
+  }
+  SUBCASE("one header line") {
+    start = "HTTP/1.1 200 OK\r\nX-Filler: ";
+    repeated = std::string(1000, 'a');
+  }
+  SUBCASE("a status line") {
+    start = "HTTP/1.1 200 ";
+    repeated = std::string(1000, 'a');
+  }
+  SUBCASE("folded lines") {
+    start = "HTTP/1.1 200 OK\r\nX-Filler: a\r\n";
+    repeated = " " + std::string(1000, 'a') + "\r\n";
+  }
+  SUBCASE("interim responses") { repeated = "HTTP/1.1 102 Processing\r\n\r\n"; }
+  SUBCASE("a chunk extension") {
+    start = "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n5;";
+    repeated = std::string(1000, 'a');
+  }
+  SUBCASE("trailers") {
+    start = "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    repeated = "X-Filler: " + std::string(1000, 'a') + "\r\n";
+  }
+  SUBCASE("empty lines") { repeated = std::string(500, '\r') + std::string(500, '\n'); }
+  SUBCASE("a body") {
+    start = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n\r\n";
+    repeated = std::string(200'000, 'a');
+  }
+  SUBCASE("random bytes") { repeated = std::string("\x01\xff\x00\x7f", 4) + "no response"; }
+  SUBCASE("a head of one byte at a time") {
+    start = "HTTP/1.1 200 OK\r\nX-Filler: ";
+    repeated = "a";
+    pause = milliseconds(10);
+  }
+  SUBCASE("a body of one byte at a time") {
+    start = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n\r\n";
+    repeated = "a";
+    pause = milliseconds(10);
+  }
+  const TimePoint started = MonotonicClock::now();
+  std::size_t written = start.size();
+  at->Write(start);
+  while (!at->ended && MonotonicClock::now() - started < seconds(2)) {
+    at->Write(repeated);
+    written += repeated.size();
+    RunFor(io, std::max(pause, milliseconds(1)));
+  }
+  CHECK(at->ended);
+  CHECK(MonotonicClock::now() - started < milliseconds(1000));
+  // The socket buffers hold a few megabytes more.
+  CHECK(written < 32 << 20);
+  CHECK(memory.used() == 0);
+  REQUIRE(RunUntil(io, [&] { return caller.received.find("HTTP/1.1 50") == 0; }));
+  // It may have run, so the status does not deny that.
+  CHECK(caller.received.find("HTTP/1.1 503") == std::string::npos);
+  CHECK(RequestsAtServers() == 1);
+  CHECK(forwarder.calls() == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an upload arrives whole and once, or the caller learns the truth") {
+  CallerLimits limits;
+  limits.max_body_bytes = 4 << 20;
+  server.SetLimits(limits);
+  TestCaller uploader(io);
+  uploader.Connect(port);
+  std::string body(3 << 20, 'x');
+  for (std::size_t i = 0; i < body.size(); i += 1000) body[i] = static_cast<char>('a' + i % 26);
+  const std::string head =
+      "POST /write/1 HTTP/1.1\r\nHost: h.example\r\nId: 7\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n";
+  // In pieces, since the sockets' buffers may not hold a whole body.
+  const auto send = [&](const std::string& bytes) {
+    constexpr std::size_t kPiece = 64 * 1024;
+    for (std::size_t at = 0; at < bytes.size(); at += kPiece) {
+      uploader.Write(bytes.substr(at, kPiece));
+      RunFor(io, milliseconds(1));
+    }
+  };
+  SUBCASE("cut on the way here") {
+    for (const std::size_t third : {0, 1, 2}) {
+      TestCaller cut(io);
+      cut.Connect(port);
+      cut.Write(head + body.substr(0, third * body.size() / 3));
+      RunFor(io, milliseconds(20));
+      cut.Close();
+      RunFor(io, milliseconds(20));
+    }
+    CHECK(RequestsAtServers() == 0);
+  }
+  SUBCASE("in pieces over a slow link") {
+    uploader.Write(head);
+    for (int third = 0; third < 3; ++third) {
+      CHECK(RequestsAtServers() == 0);
+      send(body.substr(third * body.size() / 3, body.size() / 3));
+      RunFor(io, milliseconds(50));
+    }
+    const auto at = NextServerConnection();
+    REQUIRE(RunUntil(io, [&] { return at->received.ends_with(body); }));
+    at->Write(Answer(200, "stored"));
+    REQUIRE(RunUntil(io, [&] { return uploader.received.find("stored") != std::string::npos; }));
+    CHECK(RequestsAtServers() == 1);
+  }
+  SUBCASE("answered before the server has read it") {
+    send(head + body);
+    const auto at = NextServerConnection();
+    at->Write(Answer(413, "too large"));
+    REQUIRE(RunUntil(io, [&] { return uploader.received.find("too large") != std::string::npos; }));
+    RunFor(io, milliseconds(50));
+    // No other request may come where the rest of the body is due.
+    CHECK(RunUntil(io, [&] { return at->ended || at->received.ends_with(body); }));
+    CHECK(RequestsAtServers() == 1);
+  }
+  SUBCASE("the server dies while it reads") {
+    send(head + body);
+    const auto at = NextServerConnection();
+    at->Reset();
+    REQUIRE(RunUntil(io, [&] { return uploader.received.find("HTTP/1.1 502") == 0; }));
+    RunFor(io, milliseconds(50));
+    CHECK(RequestsAtServers() == 1);
+  }
+  SUBCASE("the caller leaves while the server reads") {
+    send(head + body);
+    const auto at = NextServerConnection();
+    uploader.Close();
+    REQUIRE(RunUntil(io, [&] { return at->ended; }));
+    CHECK(RequestsAtServers() == 1);
+  }
+  SUBCASE("beside a planned stop") {
+    send(head + body.substr(0, body.size() / 2));
+    RunFor(io, milliseconds(20));
+    server.SetDraining();
+    server.StopAccepting();
+    server.CloseIdle();
+    send(body.substr(body.size() / 2));
+    const auto at = NextServerConnection();
+    REQUIRE(RunUntil(io, [&] { return at->received.ends_with(body); }));
+    at->Write(Answer(200, "stored"));
+    REQUIRE(RunUntil(io, [&] { return uploader.received.find("stored") != std::string::npos; }));
+    REQUIRE(RunUntil(io, [&] { return uploader.ended; }));
+  }
+  SUBCASE("more of them than there is memory for") {
+    std::vector<std::unique_ptr<TestCaller>> many;
+    for (int i = 0; i < 100; ++i) {
+      many.push_back(std::make_unique<TestCaller>(io));
+      many.back()->Connect(port);
+      many.back()->Write(head + body.substr(0, 1000));
+      RunFor(io, milliseconds(1));
+      CHECK(memory.used() <= 8 << 20);
+    }
+    RunFor(io, milliseconds(50));
+    std::size_t refused = 0;
+    for (const auto& sender : many) {
+      if (sender->received.find("HTTP/1.1 503") == 0 &&
+          sender->received.find("Retry-After: ") != std::string::npos) {
+        ++refused;
+      }
+    }
+    // A budget of 8 MiB, of which requests may use 70 %, holds one of 3 MiB.
+    CHECK(refused == 99);
+    CHECK(RequestsAtServers() == 0);
+  }
+  uploader.Close();
+  CHECK(RunUntil(io, [&] { return memory.used() == 0; }));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a server that becomes silent or unlisted keeps its running request") {
+  SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
+  const auto at = NextServerConnection();
+  const ServerName id(first.connections.empty() ? "b" : "a");
+  SUBCASE("its health checks fail") {
+    for (int i = 0; i < 10; ++i) pool.OnHealthCheckEnd(id, false, MonotonicClock::now());
+  }
+  SUBCASE("its entry has expired") { pool.Remove(id); }
+  SUBCASE("it is leaving") {
+    ServerEntry entry;
+    entry.id = id;
+    entry.service = search_service;
+    entry.address = first.connections.empty() ? second.address() : first.address();
+    entry.data_centre = DataCentreName("here");
+    entry.slots = 4;
+    entry.leaving = true;
+    pool.Put(entry, MonotonicClock::now());
+  }
+  forwarder.DispatchQueued();
+  RunFor(io, milliseconds(300));
+  CHECK_FALSE(at->ended);
+  CHECK(RequestsAtServers() == 1);
+  at->Write(Answer(200, "done"));
+  WaitForText("done");
+}
+
 TEST_CASE_FIXTURE(Fixture, "a slow idempotent request is sent to a second server, once") {
   SendRequest("GET", "/read/1");
   const auto slow = NextServerConnection();
@@ -269,8 +526,9 @@
   ActiveConfig config;
   ServerPool pool{PoolOptions{}};
   GatewayMetrics metrics;
-  Forwarder forwarder({io, adapter, config, pool, metrics, {}});
-  CallerServer server(io, forwarder);
+  MemoryBudget memory(1 << 20);
+  Forwarder forwarder({io, adapter, config, pool, metrics, memory, {}});
+  CallerServer server(io, forwarder, &memory);
   forwarder.SetServer(&server);
   TestCaller caller(io);
   const std::uint16_t port = FreePort(io);
--- a/tests/gateway/http_client_connection_test.cc
+++ b/tests/gateway/http_client_connection_test.cc
@@ -21,7 +21,7 @@
   void Send(const std::string& id, Duration max_idle = std::chrono::seconds(5)) {
     connection = pool.Acquire(server.address(), max_idle).value();
     ExchangeRequest request;
-    request.bytes = "GET /" + id + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n\r\n";
+    request.head = "GET /" + id + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n\r\n";
     request.id_header = "X-Id";
     request.id = id;
     result.reset();
@@ -151,7 +151,7 @@
   server.Stop();
   connection = pool.Acquire(address, milliseconds(1)).value();
   ExchangeRequest request;
-  request.bytes = "GET / HTTP/1.1\r\n\r\n";
+  request.head = "GET / HTTP/1.1\r\n\r\n";
   connection->Exchange(std::move(request),
                        [this](ExchangeResult received) { result = std::move(received); });
   WaitForResult();
@@ -162,8 +162,8 @@
     Fixture, "a connection with a response before the whole request was written is not reused") {
   connection = pool.Acquire(server.address(), milliseconds(1)).value();
   ExchangeRequest request;
-  request.bytes = "POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 30000000\r\n\r\n";
-  request.bytes.resize(request.bytes.size() + 30'000'000, 'x');
+  request.head = "POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 30000000\r\n\r\n";
+  request.body = std::make_shared<const std::string>(30'000'000, 'x');
   connection->Exchange(std::move(request), [this](ExchangeResult received) {
     result = std::move(received);
     pool.Release(server.address(), connection);
--- a/tests/platform/fake_backend_server.h
+++ b/tests/platform/fake_backend_server.h
@@ -27,7 +27,7 @@
 class FakeBackendServer : public gateway::CallerEvents {
  public:
   FakeBackendServer(asio::io_context& io, std::string id, std::string service)
-      : io_(io), id_(std::move(id)), service_(std::move(service)), server_(io, *this) {
+      : io_(io), id_(std::move(id)), service_(std::move(service)), server_(io, *this, nullptr) {
     gateway::CallerLimits limits;
     limits.idle_timeout = std::chrono::hours(1);
     server_.SetLimits(limits);
@@ -70,6 +70,7 @@
     });
   }
   void OnDisconnected(gateway::ExchangeId) override {}
+  void OnMemoryFull(gateway::ExchangeId, const gateway::HttpMessage&) override {}
 
  private:
   void Respond(gateway::ExchangeId exchange, const std::string& request_id) {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -32,7 +32,7 @@
 /// thread that runs the io_context.
 class FakeStore : public gateway::CallerEvents {
  public:
-  explicit FakeStore(asio::io_context& io) : io_(io), server_(io, *this) {
+  explicit FakeStore(asio::io_context& io) : io_(io), server_(io, *this, nullptr) {
     gateway::CallerLimits limits;
     limits.idle_timeout = std::chrono::hours(1);
     server_.SetLimits(limits);
@@ -87,6 +87,7 @@
   }
 
   void OnDisconnected(gateway::ExchangeId exchange) override { waiting_reads_.erase(exchange); }
+  void OnMemoryFull(gateway::ExchangeId, const gateway::HttpMessage&) override {}
 
  private:
   struct Newest {
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -70,7 +70,7 @@
   running_[id] = link.value();
   sent_[id].at = MonotonicClock::now();
   gateway::ExchangeRequest request;
-  request.bytes = fmt::format(
+  request.head = fmt::format(
       "GET /resolve?Name=h.example&Region=r&Zone={} HTTP/1.1\r\nHost: d\r\n\r\n", data_centre);
   link.value()->Exchange(
       std::move(request), [this, id, data_centre](const gateway::ExchangeResult& answer) {
@@ -101,10 +101,10 @@
   sent.at = MonotonicClock::now();
   running_[id] = link.value();
   gateway::ExchangeRequest request;
-  request.bytes = fmt::format(
+  request.head = fmt::format(
       "{} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\nX-Request-Deadline: {}\r\n",
       sent.unsafe ? "POST /write/x" : "GET /read/x", id, kDeadlineMs);
-  request.bytes += sent.unsafe ? "Content-Length: 4\r\n\r\nbody" : "\r\n";
+  request.head += sent.unsafe ? "Content-Length: 4\r\n\r\nbody" : "\r\n";
   link.value()->Exchange(std::move(request),
                          [this, id, address](const gateway::ExchangeResult& answer) {
                            const auto used = running_.extract(id);
