Hand the cold ramp over with the group, and don't restart cold_hold on overload

While all traffic came to four servers that were still cold, attempts that were dispatched shortly before their deadline timed out; each timeout, and each single late answer, counted as an overload, halved the limit and began cold_hold (2 s) again, so the servers stayed cold. At the stop the next owner began the ramp anew in any case. 4 slots for 120 requests a second of 40 ms are too few, so forwarded requests waited in its queue and ended as "may have run" at their deadline.

Ruled out: a lost wake-up or an interrupted call in PeerSocket (2,000 messages under 20,000 signals a test: none delayed); a lease that is not granted (the next owner dispatches 40 ms after the signal); lost messages.

Change: a timeout counts only if the attempt had more than the latency target; one late answer is neutral, two in a row halve; an overload doesn't prolong cold_hold; ServerHandover carries limit and rest of the cold time (two new fields on the wire; without them the next owner begins as before). Hosts log each change of a lease, which was the gap in the logs.

--- a/src/libentry/entry_host.cc
+++ b/src/libentry/entry_host.cc
@@ -28,6 +28,7 @@
       router_(options_, services_, follower_.state_machine().state(), membership_, leases_, groups_,
               observer),
       signer_(options_.ticket_secret),
+      observer_(observer),
       config_changed_at_(now.mono),
       ticket_nonce_(options_.random_seed) {}
 
@@ -61,6 +62,27 @@
   groups_.Refresh(services_, config(), leases_, options_.self, permitted, now.mono, group_actions);
   router_.Apply(std::move(group_actions), now, actions);
   ReleaseDrainedLeases(now, actions);
+  ReportLeaseChanges();
+}
+
+void EntryHost::ReportLeaseChanges() {
+  std::map<GroupName, LeasePhase> leases;
+  for (const auto& [key, group] : groups_.groups()) {
+    if (group.lease.phase != LeasePhase::kNone) leases[group.name] = group.lease.phase;
+  }
+  if (leases == reported_leases_) return;
+  const auto report = [&](const GroupName& name) {
+    const auto before = reported_leases_.find(name);
+    const auto after = leases.find(name);
+    const LeasePhase from = before == reported_leases_.end() ? LeasePhase::kNone : before->second;
+    const LeasePhase to = after == leases.end() ? LeasePhase::kNone : after->second;
+    if (from != to) observer_.OnLeaseChange(name, LeasePhaseName(from), LeasePhaseName(to));
+  };
+  for (const auto& [name, phase] : reported_leases_) report(name);
+  for (const auto& [name, phase] : leases) {
+    if (reported_leases_.count(name) == 0) report(name);
+  }
+  reported_leases_ = std::move(leases);
 }
 
 /// Releases the leases of draining groups that have no queued and no running requests.
@@ -244,10 +266,13 @@
   ApplyFollowerActions(std::move(follower_actions), now, actions);
 }
 
-void EntryHost::Handle(const Incarnation&, const GroupKnowledge& message, Instant, EntryActions&) {
+void EntryHost::Handle(const Incarnation&, const GroupKnowledge& message, Instant now,
+                       EntryActions&) {
   std::vector<ServerHandover> handovers;
   for (const KnownServer& server : message.servers) {
-    handovers.push_back({server.name, server.start, server.warm});
+    const Duration cold_left = server.limit == 0 ? options_.dispatcher.cold_hold : server.cold_left;
+    handovers.push_back(
+        {server.name, server.start, server.warm, std::max(1U, server.limit), now.mono + cold_left});
   }
   groups_.StoreHandovers(message.group, std::move(handovers));
 }
@@ -323,7 +348,8 @@
     GroupKnowledge message;
     message.group = key;
     for (const ServerHandover& known : handovers) {
-      message.servers.push_back({known.name, known.start, known.warm});
+      const Duration cold_left = std::max(Duration::zero(), Duration(known.cold_until - now.mono));
+      message.servers.push_back({known.name, known.start, known.warm, known.limit, cold_left});
     }
     auto hosts = RendezvousOrder(key, membership_.LiveInOwnDataCentre(now.mono));
     hosts.resize(std::min(hosts.size(), kHandoverRecipients));
--- a/src/libentry/entry_host.h
+++ b/src/libentry/entry_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -78,6 +79,7 @@
   std::vector<LeaseGrant> GrantsFor(const std::vector<GroupKey>& wanted, const Incarnation& to,
                                     TimePoint now);
   void ReleaseDrainedLeases(Instant now, EntryActions& actions);
+  void ReportLeaseChanges();
   void SendTo(const HostName& host, PeerMessage message, EntryActions& actions) const;
   void ApplyFollowerActions(FollowerActions follower_actions, Instant now, EntryActions& actions);
   std::optional<Ticket> MakeTicket(Instant now);
@@ -125,6 +127,8 @@
   GroupTable groups_;
   RequestRouter router_;
   TicketSigner signer_;
+  EntryObserver& observer_;
+  std::map<GroupName, LeasePhase> reported_leases_;
   std::vector<BackendServerEntry> servers_;
   WorkPermission permission_ = WorkPermission::kNoConfig;
   TimePoint refreshed_at_;
--- a/src/libentry/types.h
+++ b/src/libentry/types.h
@@ -134,6 +134,9 @@
   virtual void OnForward(const ClassName& class_name, const std::string& result) = 0;
   virtual void OnProbe(const ServiceName& service) = 0;
   virtual void OnClaim(const std::string& result) = 0;
+  /// This host's lease on a group changed. `before` and `after` are names of lease phases.
+  virtual void OnLeaseChange(const GroupName& group, const std::string& before,
+                             const std::string& after) = 0;
 };
 
 }  // namespace mulberry
--- a/src/libpolicy/backend_server.cc
+++ b/src/libpolicy/backend_server.cc
@@ -109,7 +109,7 @@
       return limit_.OnAnswer(report.server_start, epoch,
                              in_time ? CapacitySignal::kInTime
                              : limit_.phase() == ConcurrencyLimit::Phase::kCold
-                                 ? CapacitySignal::kOverload
+                                 ? CapacitySignal::kLate
                                  : CapacitySignal::kNeutral,
                              now);
     case DispatchResult::kServerError:
@@ -125,7 +125,9 @@
     case DispatchResult::kBroken:
       return limit_.MarkUnverified(now);
     case DispatchResult::kTimedOut:
-      return limit_.OnTimeout(epoch, now);
+      // An attempt that began shortly before the deadline says nothing about the server.
+      if (!in_time) limit_.OnTimeout(epoch, now);
+      return;
     case DispatchResult::kCancelled:
       return;
   }
--- a/src/libpolicy/backend_server.h
+++ b/src/libpolicy/backend_server.h
@@ -23,10 +23,10 @@
   void MarkUnverified(TimePoint now) { limit_.MarkUnverified(now); }
 
   /// Returns the state that the next owner needs.
-  ServerHandover Handover() const { return {info_.name, limit_.start(), limit_.WasWarm()}; }
+  ServerHandover Handover() const { return limit_.Handover(info_.name); }
   /// Applies the state from the former owner.
   void ApplyHandover(const ServerHandover& handover, TimePoint now) {
-    limit_.ApplyHandover(handover.start, handover.warm, now);
+    limit_.ApplyHandover(handover, now);
   }
 
   const ServerName& name() const { return info_.name; }
@@ -56,7 +56,7 @@
   /// Records the start of an attempt that counts as overdue from `overdue_at`.
   void OnAttemptStart(DispatchId dispatch, TimePoint overdue_at, TimePoint now);
   /// Records the end of an attempt. `median` is the median latency of its class, zero when unknown.
-  /// `in_time` is true for an answer that counts for the cold ramp.
+  /// `in_time`: the attempt took no longer than the latency target, or than twice the median.
   void OnAttemptEnd(const DispatchReport& report, TimePoint started, std::uint32_t epoch,
                     Duration median, bool in_time, TimePoint now);
   /// Handles the result of a probe.
--- a/src/libpolicy/concurrency_limit.cc
+++ b/src/libpolicy/concurrency_limit.cc
@@ -10,6 +10,9 @@
 // the current limit.
 constexpr int kRecoveryStepDivisor = 5;
 constexpr std::uint32_t kRecoveryAnswersPerSlot = 2;
+// Late answers in a row that show an overload. A single one is common where the work differs from
+// request to request.
+constexpr std::uint32_t kLateAnswers = 2;
 
 }  // namespace
 
@@ -17,7 +20,7 @@
                                    bool announced_cold, TimePoint now)
     : options_(&options),
       slots_(std::max(1U, slots)),
-      limit_(std::min(slots_, std::max(1U, options.cold_slots))),
+      limit_(std::min(slots_, ColdSlots())),
       step_started_at_(now) {
   if (announced_cold) MarkCold(now);
 }
@@ -50,36 +53,44 @@
 
 void ConcurrencyLimit::SetSlots(std::uint32_t slots) {
   slots_ = std::max(1U, slots);
-  const Phase phase = phase_ == Phase::kUnverified ? confirmed_phase_ : phase_;
-  limit_ = phase == Phase::kWarm ? slots_ : std::min(limit_, slots_);
+  limit_ = ConfirmedPhase() == Phase::kWarm ? slots_ : std::min(limit_, slots_);
 }
 
-void ConcurrencyLimit::SetKnownCold(TimePoint now) {
+void ConcurrencyLimit::SetKnownCold(TimePoint until) {
   known_cold_ = true;
-  known_cold_until_ = now + options_->cold_hold;
+  known_cold_until_ = until;
+  hold_until_ = until;
   in_cold_time_ = true;
 }
 
 void ConcurrencyLimit::MarkCold(TimePoint now) {
-  SetKnownCold(now);
-  StartRamp(Phase::kCold, std::max(1U, options_->cold_slots), now);
+  SetKnownCold(now + options_->cold_hold);
+  StartRamp(Phase::kCold, ColdSlots(), now);
 }
 
-void ConcurrencyLimit::ApplyHandover(StartId start, bool warm, TimePoint now) {
-  if (has_start_history_ || phase_ != Phase::kUnverified || start == StartId()) return;
-  start_ = start;
+ServerHandover ConcurrencyLimit::Handover(const ServerName& name) const {
+  ServerHandover handover;
+  handover.name = name;
+  handover.start = start_;
+  handover.warm = ConfirmedPhase() == Phase::kWarm;
+  if (handover.warm) return handover;
+  // The limit of the recovery ramp is not a cold limit.
+  handover.limit = ConfirmedPhase() == Phase::kCold ? limit_ : ColdSlots();
+  handover.cold_until = hold_until_.value_or(TimePoint());
+  return handover;
+}
+
+void ConcurrencyLimit::ApplyHandover(const ServerHandover& handover, TimePoint now) {
+  if (has_start_history_ || phase_ != Phase::kUnverified || handover.start == StartId()) return;
+  start_ = handover.start;
   has_start_history_ = true;
-  confirmed_phase_ = warm ? Phase::kWarm : Phase::kCold;
-  if (warm) {
+  confirmed_phase_ = handover.warm ? Phase::kWarm : Phase::kCold;
+  if (handover.warm) {
     limit_ = slots_;
-  } else {
-    SetKnownCold(now);
+    return;
   }
-}
-
-bool ConcurrencyLimit::WasWarm() const {
-  const Phase phase = phase_ == Phase::kUnverified ? confirmed_phase_ : phase_;
-  return phase == Phase::kWarm;
+  limit_ = std::clamp(handover.limit, 1U, slots_);
+  SetKnownCold(std::min(handover.cold_until, now + options_->cold_hold));
 }
 
 void ConcurrencyLimit::MarkUnverified(TimePoint now) {
@@ -111,7 +122,10 @@
   if (phase_ == Phase::kUnverified) ConfirmStart(start, now);
   if (start_ == StartId()) start_ = start;
   has_start_history_ = true;
-  if (signal == CapacitySignal::kOverload) return HalveLimit(now);
+  const bool late = signal == CapacitySignal::kLate;
+  late_in_a_row_ = late ? late_in_a_row_ + 1 : 0;
+  const bool overload = signal == CapacitySignal::kOverload || late_in_a_row_ >= kLateAnswers;
+  if (overload) return HalveLimit(now);
   if (signal != CapacitySignal::kInTime || !Ramping()) return;
   ++answers_in_time_;
   Advance(now);
@@ -145,7 +159,8 @@
 
 TimePoint ConcurrencyLimit::NextRampStep() const {
   if (!Ramping() || answers_in_time_ < RequiredAnswers()) return TimePoint::max();
-  return step_started_at_ + StepDuration();
+  const TimePoint step_end = step_started_at_ + StepDuration();
+  return phase_ == Phase::kCold && hold_until_ ? std::max(step_end, *hold_until_) : step_end;
 }
 
 std::uint32_t ConcurrencyLimit::RequiredAnswers() const {
@@ -155,8 +170,7 @@
 
 Duration ConcurrencyLimit::StepDuration() const {
   if (phase_ != Phase::kCold) return options_->cold_step / kRecoveryStepDivisor;
-  const bool first_step = limit_ <= std::max(1U, options_->cold_slots);
-  return first_step ? std::max(options_->cold_hold, options_->cold_step) : options_->cold_step;
+  return options_->cold_step;
 }
 
 /// True when no start id is known yet, so that the next one does not indicate a restart.
@@ -175,6 +189,8 @@
 void ConcurrencyLimit::ConfirmStart(StartId start, TimePoint now) {
   if (start == StartId() && has_start_history_) return MarkCold(now);
   phase_ = confirmed_phase_;
+  // A server that nothing was known of may have started a moment ago.
+  if (phase_ == Phase::kCold && !hold_until_) hold_until_ = now + options_->cold_hold;
   answers_in_time_ = 0;
   step_started_at_ = now;
   ++epoch_;
@@ -190,6 +206,7 @@
   phase_ = phase;
   limit_ = std::min(limit, slots_);
   answers_in_time_ = 0;
+  late_in_a_row_ = 0;
   step_started_at_ = now;
   has_start_history_ = has_start_history_ || phase == Phase::kCold;
   ++epoch_;
--- a/src/libpolicy/concurrency_limit.h
+++ b/src/libpolicy/concurrency_limit.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "libpolicy/group_dispatcher.h"
 
@@ -12,11 +14,12 @@
 ///
 /// A server is cold when its start id changed or when it is announced as cold. Its limit is
 /// `cold_slots` for at least `cold_hold` and then rises by one slot for every
-/// `cold_answers_per_slot` answers in time, at most once per `cold_step`. A server that may have
-/// restarted unnoticed is unverified: it gets one request at a time until an answer contains its
-/// start id. A server without any known start counts as cold. Answers count only if their attempt
-/// began in the current epoch (see epoch()), and reports of a load endpoint never raise the limit.
-/// Not thread safe.
+/// `cold_answers_per_slot` answers in time, at most once per `cold_step`. A sign of overload halves
+/// the limit but does not prolong `cold_hold`, since the server has not started again. A server
+/// that may have restarted unnoticed is unverified: it gets one request at a time until an answer
+/// contains its start id. A server without any known start counts as cold. Answers count only if
+/// their attempt began in the current epoch (see epoch()), and reports of a load endpoint never
+/// raise the limit. Not thread safe.
 class ConcurrencyLimit {
  public:
   enum class Phase {
@@ -30,7 +33,8 @@
   enum class CapacitySignal {
     kInTime,    ///< In time: counts for the ramp.
     kNeutral,   ///< Confirms only the start id.
-    kOverload,  ///< A shed, or an error or a late answer while the server is cold.
+    kLate,      ///< Late while the server is cold: several in a row show an overload.
+    kOverload,  ///< A shed, or an error while the server is cold.
   };
 
   ConcurrencyLimit(const DispatcherOptions& options, std::uint32_t slots, bool announced_cold,
@@ -49,11 +53,11 @@
   void SetSlots(std::uint32_t slots);
   /// Restarts the cold ramp.
   void MarkCold(TimePoint now);
-  /// Applies the start id and state from the group's former owner. Ignored once an answer has been
-  /// received here.
-  void ApplyHandover(StartId start, bool warm, TimePoint now);
-  /// True when the server is warm, or was before it became unverified.
-  bool WasWarm() const;
+  /// Returns what the group's next owner needs. An unverified server counts as what it was before.
+  ServerHandover Handover(const ServerName& name) const;
+  /// Applies the state from the group's former owner; a cold server continues its ramp. Ignored
+  /// once an answer has been received here.
+  void ApplyHandover(const ServerHandover& handover, TimePoint now);
   /// Marks that the server may have restarted. A cold server stays cold and restarts its ramp.
   void MarkUnverified(TimePoint now);
   /// Starts the short ramp of a server that answers again after failures.
@@ -76,13 +80,15 @@
   bool Ramping() const { return phase_ == Phase::kCold || phase_ == Phase::kRecovering; }
   std::uint32_t RequiredAnswers() const;
   Duration StepDuration() const;
+  std::uint32_t ColdSlots() const { return std::max(1U, options_->cold_slots); }
+  Phase ConfirmedPhase() const { return phase_ == Phase::kUnverified ? confirmed_phase_ : phase_; }
   bool ExpectsFirstStartId() const;
   void HandleRestart(StartId start, TimePoint now);
   void ConfirmStart(StartId start, TimePoint now);
   void HalveLimit(TimePoint now);
   void StartRamp(Phase phase, std::uint32_t limit, TimePoint now);
   bool IsFormerStart(StartId start) const;
-  void SetKnownCold(TimePoint now);
+  void SetKnownCold(TimePoint until);
   TimePoint NextRampStep() const;
   std::uint32_t SharedSlots(LimitShare share, TimePoint now) const;
 
@@ -93,6 +99,7 @@
   Phase confirmed_phase_ = Phase::kCold;
   std::uint32_t limit_ = 1;
   std::uint32_t answers_in_time_ = 0;
+  std::uint32_t late_in_a_row_ = 0;
   std::uint32_t epoch_ = 0;
   TimePoint step_started_at_;
   /// True once the server has answered, has been marked cold or was handed over.
@@ -101,6 +108,8 @@
   bool known_cold_ = false;
   /// End of the cold time of a server that is known to be cold.
   TimePoint known_cold_until_;
+  /// Until then a cold server gets at most `cold_slots`; none before its first answer.
+  std::optional<TimePoint> hold_until_;
   /// True until known_cold_until_ has passed; used by NextStep.
   bool in_cold_time_ = false;
   StartId start_;
--- a/src/libpolicy/types.h
+++ b/src/libpolicy/types.h
@@ -49,6 +49,10 @@
   StartId start;
   /// True when the server is warm and may use all of its slots.
   bool warm = false;
+  /// Concurrent requests that a cold server gets. Meaningless for a warm one.
+  std::uint32_t limit = 1;
+  /// Until then a cold server gets at most `cold_slots`.
+  TimePoint cold_until;
   auto operator<=>(const ServerHandover&) const = default;
 };
 
--- a/src/libtransport/peer_codec.cc
+++ b/src/libtransport/peer_codec.cc
@@ -182,6 +182,8 @@
       added->set_name(server.name.str());
       added->set_start(server.start.value());
       added->set_warm(server.warm);
+      added->set_limit(server.limit);
+      added->set_cold_left_us(server.cold_left.count());
     }
   }
 
@@ -379,8 +381,10 @@
 bool Read(wire::GroupKnowledge& from, GroupKnowledge* to) {
   to->group = GroupKey(from.group());
   for (auto& server : *from.mutable_servers()) {
-    to->servers.push_back(
-        {ServerName(std::move(*server.mutable_name())), StartId(server.start()), server.warm()});
+    KnownServer known{ServerName(std::move(*server.mutable_name())), StartId(server.start()),
+                      server.warm(), server.limit(), Duration()};
+    if (!ReadDuration(server.cold_left_us(), &known.cold_left)) return false;
+    to->servers.push_back(std::move(known));
   }
   return true;
 }
--- a/src/mulberryd/metrics_observer.cc
+++ b/src/mulberryd/metrics_observer.cc
@@ -62,6 +62,15 @@
   Counter("mulberry_claims_total", "Ended claims of idempotency keys", "", "result", result).Add();
 }
 
+void MetricsObserver::OnLeaseChange(const GroupName& group, const std::string& before,
+                                    const std::string& after) {
+  LogEvent(LogLevel::kInfo, "lease",
+           {{"service", group.service.str()},
+            {"data_centre", group.data_centre.str()},
+            {"before", before},
+            {"after", after}});
+}
+
 void MetricsObserver::Gauge(const std::string& name, const std::string& help, double value,
                             const MetricLabels& labels) {
   metrics_.GaugeFor(name, help, labels).Set(value);
--- a/src/mulberryd/metrics_observer.h
+++ b/src/mulberryd/metrics_observer.h
@@ -23,6 +23,9 @@
   void OnForward(const ClassName& class_name, const std::string& result) override;
   void OnProbe(const ServiceName& service) override;
   void OnClaim(const std::string& result) override;
+  /// Also writes a log line, since a change of owner explains what requests met meanwhile.
+  void OnLeaseChange(const GroupName& group, const std::string& before,
+                     const std::string& after) override;
 
   /// Sets the gauges from a status (EntryHost::Status) and the transports' counters. `server` may
   /// be null when the HTTP server is not running.
--- a/tests/bench/capacity/entry_costs.cc
+++ b/tests/bench/capacity/entry_costs.cc
@@ -29,6 +29,7 @@
   void OnForward(const ClassName&, const std::string&) override {}
   void OnProbe(const ServiceName&) override {}
   void OnClaim(const std::string&) override {}
+  void OnLeaseChange(const GroupName&, const std::string&, const std::string&) override {}
 };
 
 std::string ClassRecord(std::size_t number, const std::string& service, bool idempotent) {
--- a/tests/entry/entry_host_test.cc
+++ b/tests/entry/entry_host_test.cc
@@ -24,9 +24,14 @@
   void OnForward(const ClassName&, const std::string&) override {}
   void OnProbe(const ServiceName&) override {}
   void OnClaim(const std::string&) override {}
+  void OnLeaseChange(const GroupName& group, const std::string&,
+                     const std::string& after) override {
+    leases.push_back(group.service.str() + " " + after);
+  }
 
   int answered = 0;
   std::vector<std::string> refused;
+  std::vector<std::string> leases;
 };
 
 /// One entry host, alone in its data centre and without a connection to the host of the other data
@@ -144,6 +149,7 @@
   }
 
   EntryHost& host() { return host_; }
+  const CountingObserver& observer() const { return observer_; }
   Instant now() const { return now_; }
 
   std::vector<EntryAction> collected_actions;
@@ -235,6 +241,20 @@
   CHECK(fixture.TakeActions<SendToServer>().empty());
 }
 
+TEST_CASE("a gained and a released lease are reported once") {
+  SingleHostFixture fixture;
+  CHECK(fixture.observer().leases.front() == "svc reduced");
+  CHECK(fixture.observer().leases.back() == "svc full");
+  const std::size_t reported = fixture.observer().leases.size();
+  fixture.RunFor(seconds(2));
+  CHECK(fixture.observer().leases.size() == reported);
+  fixture.CollectActions(
+      [&](EntryActions& actions) { fixture.host().BeginLeaving(fixture.now(), actions); });
+  fixture.RunFor(milliseconds(100));
+  CHECK(fixture.observer().leases.size() == reported + 1);
+  CHECK(fixture.observer().leases.back() == "svc none");
+}
+
 TEST_CASE("a non-idempotent request without a valid ticket is refused and was not run") {
   SingleHostFixture fixture;
   fixture.AppendClass("booking", false);
