Clock: count the time in which the machine is suspended

Cause: MonotonicClock read the steady clock, which stands while a machine is suspended. A host that was suspended for seconds then used leases, shares, deadlines and heartbeats that had run out meanwhile. A stopped process (SIGSTOP) was not affected: its clock goes on.

Change: CLOCK_BOOTTIME.

Tests: FreePort could return the same port twice for one node, and its start then failed (test_platform, "a configuration change reaches nodes that do not read the store", once in six runs beside a build; two cases of the same program failed once before, their names were not kept). It returns no port twice now.

--- a/src/libbase/units.h
+++ b/src/libbase/units.h
@@ -2,14 +2,16 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace mulberry {
 
 /// Length of time in microseconds.
 using Duration = std::chrono::microseconds;
 
-/// Monotonic clock (CLOCK_MONOTONIC) that continues while the process is suspended. Only programs
-/// call now(); libraries receive the time as a parameter.
+/// Monotonic clock that also counts the time in which the process or the whole machine is suspended
+/// (CLOCK_BOOTTIME), so that a lease or a deadline that has passed meanwhile is seen to have
+/// passed. Only programs call now(); libraries receive the time as a parameter.
 struct MonotonicClock {
   using duration = Duration;
   using rep = duration::rep;
@@ -19,7 +21,10 @@
 
   /// Returns the current time. Thread safety: any thread.
   static time_point now() {
-    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
+    timespec now = {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto since_boot =
+        std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
     return time_point(std::chrono::duration_cast<duration>(since_boot));
   }
 };
--- a/tests/gateway/test_caller.h
+++ b/tests/gateway/test_caller.h
@@ -4,14 +4,20 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace mulberry::gateway {
 
-/// Returns a loopback port that is currently free.
+/// Returns a loopback port that is currently free. No port is returned twice, since the system may
+/// offer the same one again before it is used.
 inline std::uint16_t FreePort(asio::io_context& io) {
-  const asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
+  static std::set<std::uint16_t> returned;
+  while (true) {
+    const asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    if (returned.insert(port).second) return port;
+  }
 }
 
 /// A caller's connection; the test writes and reads its bytes.
