--- a/src/libfleet/peer_message.h
+++ b/src/libfleet/peer_message.h
@@ -192,8 +192,8 @@
   StartId start;
   /// True if the server has served all of its slots at some time since that start.
   bool warm = false;
-  /// Concurrent requests that the owner gives a server that is not warm; zero from a version of this
-  /// program that tells neither this nor `cold_left`.
+  /// Concurrent requests that the owner gives a server that is not warm; zero from a version of
+  /// this program that tells neither this nor `cold_left`.
   std::uint32_t limit = 0;
   /// Rest of the time in which such a server gets at most the cold limit.
   Duration cold_left{};
