Forwarder: forget refused calls at once

Cause: a call that was refused on arrival or when its queue was looked through stayed in the table, with its body and the memory reserved for it, until 0.3 s after its deadline. Uploads that were refused for want of a server so kept others out (memory_full).

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -80,7 +80,9 @@
   Call& admitted = *call;
   calls_by_exchange_[exchange] = call->id;
   calls_.emplace(call->id, std::move(call));
+  const CallId id = admitted.id;
   TryDispatch(admitted, false, arrived);
+  EraseIfDone(id);
 }
 
 /// Determines route, service and deadline; sends an error response and returns false when there is
@@ -211,6 +213,7 @@
         continue;
       }
       TryDispatch(*call, false, now);
+      EraseIfDone(next.id);
       if (queue.size() == before) break;
     }
   }
