--- a/tests/entry/fleet_simulation.cc
+++ b/tests/entry/fleet_simulation.cc
@@ -110,8 +110,9 @@
 }
 
 void FleetSimulation::SendRequest(std::size_t index) {
-  if (nodes_[index].host == nullptr || now_.mono - nodes_[index].leaving_since > kAddressTtl)
-    return;
+  const Node& node = nodes_[index];
+  const bool unknown_to_callers = now_.mono - node.leaving_since > kAddressTtl;
+  if (node.host == nullptr || unknown_to_callers) return;
   CallerRequest call;
   call.id = RequestId(next_id_++);
   call.class_name = ClassName("lookup");
--- a/tests/gateway/route_table_test.cc
+++ b/tests/gateway/route_table_test.cc
@@ -63,6 +63,7 @@
   Route route = MakeRoute("split", "h.example", "/x/");
   route.shares = {{ServiceName("a"), 70}, {ServiceName("b"), 30}};
   std::vector<TrafficSplitter> hosts;
+  hosts.reserve(kHosts);
   for (int i = 0; i < kHosts; ++i) hosts.emplace_back(i);
   const auto share_of_a = [&](int requests) {
     int to_a = 0;
