Relay: a gap in the servers' topic shows at once again

The relay skipped reads without records since "hosts catch up on the configuration from each other". When the store has dropped its history, a reader takes the newest records and goes on from a later offset; the read after it has no records as long as nothing changes, and only its offset tells the others that they lack something. In the log of the host no server entry comes after that. Change: only a read without records that follows the last one without a gap is skipped. Test: "a gap shows in the next update, also before there are further records" failed first.

--- a/src/libgateway/store_update_relay.cc
+++ b/src/libgateway/store_update_relay.cc
@@ -21,8 +21,9 @@
 }  // namespace
 
 void StoreUpdateRelay::OnRead(Offset from, Offset to, std::vector<TopicRecord> changes) {
-  if (from == to) return;
-  if (!reads_.empty() && reads_.back().to != from) reads_.clear();
+  const bool contiguous = !reads_.empty() && reads_.back().to == from;
+  if (contiguous && from == to) return;
+  if (!contiguous) reads_.clear();
   StoreRead read{from, to, std::move(changes), 0};
   for (const TopicRecord& record : read.changes) read.bytes += EncodedBytes(record);
   reads_.push_back(std::move(read));
--- a/tests/gateway/store_update_relay_test.cc
+++ b/tests/gateway/store_update_relay_test.cc
@@ -54,6 +54,18 @@
   CHECK(update.records.size() == 2);
 }
 
+TEST_CASE("a gap shows in the next update, also before there are further records") {
+  StoreUpdateRelay relay;
+  relay.OnRead(Offset(5), Offset(6), {Put("a", 5)});
+  // The records up to 50 have expired; the newest ones were read instead.
+  relay.OnRead(Offset(50), Offset(50), {});
+  const TopicUpdate update = SingleUpdate(relay.Updates({}));
+  CHECK(update.from == Offset(50));
+  TopicFollower follower({}, [](const TopicRecord&) {});
+  follower.OnNewest({{}, false, Offset(6)});
+  CHECK_FALSE(follower.OnRelayed(update.from, update.to, update.records));
+}
+
 TEST_CASE("a read that is too large for a datagram is split without a gap") {
   StoreUpdateRelay relay;
   std::vector<TopicRecord> changes;
