Gateway: log what a planned stop waits for

The lines of a stop (stopping, stopped) did not tell why a host was still there at its time limit: whether requests were pending at each check, one connection was never idle, or the signal came late. stop_waits (each second, from the time at which the host may end) and stopped now tell the time since the signal and how many connections are idle, receiving a request, answering, or lingering until the caller closes. No decision is changed.

--- a/src/libgateway/caller_server.cc
+++ b/src/libgateway/caller_server.cc
@@ -54,9 +54,9 @@
   void Sweep(TimePoint now);
   /// Reads what has arrived until there is a request.
   void ReadArrived();
-  bool idle() const {
-    return !lingering_ && pending_responses_.empty() && write_buffer_.empty() && !reader_.started();
-  }
+  bool lingering() const { return lingering_; }
+  bool answering() const { return !pending_responses_.empty() || !write_buffer_.empty(); }
+  bool idle() const { return !lingering_ && !answering() && !reader_.started(); }
   void Close();
 
  private:
@@ -390,6 +390,22 @@
   }
 }
 
+ConnectionCounts CallerServer::CountConnections() const {
+  ConnectionCounts counts;
+  for (const auto& [key, session] : sessions_) {
+    if (session->lingering()) {
+      ++counts.lingering;
+    } else if (session->answering()) {
+      ++counts.answering;
+    } else if (session->idle()) {
+      ++counts.idle;
+    } else {
+      ++counts.receiving;
+    }
+  }
+  return counts;
+}
+
 void CallerServer::Sweep(TimePoint now) {
   std::vector<std::shared_ptr<CallerSession>> all;
   all.reserve(sessions_.size());
--- a/src/libgateway/caller_server.h
+++ b/src/libgateway/caller_server.h
@@ -32,6 +32,14 @@
   virtual void OnMemoryFull(ExchangeId exchange, const HttpMessage& head) = 0;
 };
 
+/// What the open connections of a CallerServer are doing.
+struct ConnectionCounts {
+  std::size_t idle = 0;
+  std::size_t receiving = 0;  ///< Part of a request has arrived, and none is pending.
+  std::size_t answering = 0;  ///< A request is pending, or a response is being written.
+  std::size_t lingering = 0;  ///< Closed on this side; the caller has not closed yet.
+};
+
 class CallerSession;
 
 /// HTTP/1.1 server for callers on one port: keep-alive connections, pipelined requests whose
@@ -67,6 +75,7 @@
   void Sweep(TimePoint now);
 
   std::size_t connections() const { return sessions_.size(); }
+  ConnectionCounts CountConnections() const;
   std::size_t pending_requests() const { return exchanges_.size(); }
 
  private:
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -26,6 +26,8 @@
 constexpr Duration kMinShutdownTime = std::chrono::milliseconds(2500);
 /// Fraction of the grace period after which a host that shuts down exits in any case.
 constexpr double kMaxShutdownFraction = 0.9;
+/// Pause between log lines about what a shutdown waits for.
+constexpr Duration kShutdownLogInterval = std::chrono::seconds(1);
 /// Fraction of the request limit of a cold server that all hosts of a data centre use together.
 constexpr double kColdFraction = 0.8;
 /// Fraction of kColdFraction that is divided among the hosts advertised by default, when all hosts
@@ -355,7 +357,7 @@
   UpdateGauges();
   FlushLog();
   if (shutting_down_ && CanFinishShutdown(now)) {
-    FinishShutdown();
+    FinishShutdown(now);
     return;
   }
   tick_timer_.expires_after(kTickInterval);
@@ -423,17 +425,32 @@
   const auto longest = Duration(static_cast<std::int64_t>(
       static_cast<double>(settings_.grace.count()) * kMaxShutdownFraction));
   if (passed >= longest) return true;
-  if (passed < kMinShutdownTime || caller_server_.pending_requests() > 0) return false;
+  if (passed < kMinShutdownTime) return false;
+  if (now - shutdown_logged_at_ >= kShutdownLogInterval) {
+    LogShutdown("stop_waits", now);
+    shutdown_logged_at_ = now;
+  }
+  if (caller_server_.pending_requests() > 0) return false;
   // Requests that have arrived by now are answered first; with the port closed no others follow.
   caller_server_.StopAccepting();
   caller_server_.CloseIdle();
   return caller_server_.connections() == 0;
 }
 
-void GatewayNode::FinishShutdown() {
-  LogEvent(LogLevel::kInfo, "stopped",
-           {{"connections", caller_server_.connections()},
+void GatewayNode::LogShutdown(const char* event, TimePoint now) const {
+  const ConnectionCounts counts = caller_server_.CountConnections();
+  LogEvent(LogLevel::kInfo, event,
+           {{"after_ms", ToMilliseconds(now - shutdown_started_at_)},
+            {"connections", caller_server_.connections()},
+            {"idle", counts.idle},
+            {"receiving", counts.receiving},
+            {"answering", counts.answering},
+            {"lingering", counts.lingering},
             {"unanswered", caller_server_.pending_requests()}});
+}
+
+void GatewayNode::FinishShutdown(TimePoint now) {
+  LogShutdown("stopped", now);
   FlushLog();
   caller_server_.StopAccepting();
   exit_timer_.expires_after(kFinalFlushTime);
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -68,7 +68,9 @@
   double ColdShare(TimePoint now) const;
   void UpdateGauges();
   bool CanFinishShutdown(TimePoint now);
-  void FinishShutdown();
+  /// Logs how long the shutdown has lasted and what the callers' connections are doing.
+  void LogShutdown(const char* event, TimePoint now) const;
+  void FinishShutdown(TimePoint now);
 
   asio::io_context& io_;
   GatewaySettings settings_;
@@ -95,6 +97,7 @@
   asio::steady_timer exit_timer_;
   TimePoint started_at_;
   TimePoint shutdown_started_at_;
+  TimePoint shutdown_logged_at_;
   double request_rate_ = 0;               ///< Requests per second, moving average.
   std::uint64_t rate_request_count_ = 0;  ///< Requests at the last measurement of the rate.
   TimePoint rate_measured_at_;
