--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -6,17 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "fake_backend_server.h"
-#include "fake_store.h"
-#include "gateway/scripted_server.h"
-#include "gateway/test_caller.h"
-#include "libgateway/gateway.h"
-#include "platform/platform.h"
+#include "node_fixture.h"
 
 namespace mulberry::platform {
 namespace {
 
-using gateway::FreePort;
 using gateway::GatewayNode;
 using gateway::GatewaySettings;
 using gateway::RunFor;
@@ -25,96 +19,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-std::string ConfigText(int version, const std::string& service) {
-  return R"({"Version":"r)" + std::to_string(version) + R"(","Resources":[
-    {"ResourceType":"Routes","Metadata":{"Name":"read"},"Spec":{"Host":"h.example",
-     "PathPrefix":"/read/","RouteType":"safe","TimeoutMs":800,"TargetLatencyMs":200,"Priority":2,
-     "Service":")" +
-         service + R"(","Attempts":2}},
-    {"ResourceType":"Services","Metadata":{"Name":"s"},"Spec":{"HealthPath":"/health",
-     "MaxConnections":220,"WarmupS":3.0,"WarmupPerS":15.0}},
-    {"ResourceType":"Services","Metadata":{"Name":"t"},"Spec":{"HealthPath":"/health",
-     "MaxConnections":220,"WarmupS":3.0,"WarmupPerS":15.0}},
-    {"ResourceType":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":8000,"MaxBodyBytes":100000,
-     "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]})";
-}
-
-std::string EntryText(const std::string& service, const std::string& address,
-                      const std::string& state = "ready") {
-  return R"({"Service":")" + service + R"(","Address":")" + address +
-         R"(","Zone":"here","Version":"v1","Slots":8,"State":")" + state +
-         R"(","WarmupLeftMs":0,"Seq":1,"born":1700000000123})";
-}
-
-/// Complete nodes, a store and one backend server for each of two services, in one thread.
-struct Fixture {
-  Fixture() : store(io), server_one(io, "i-1", "s"), server_two(io, "i-2", "t") {
-    store_address = Open(store);
-    store.Put("keyed.op", "config", ConfigText(1, "s"));
-    store.Put("keyed.servers", "i-1", EntryText("s", Open(server_one)));
-    store.Put("keyed.servers", "i-2", EntryText("t", Open(server_two)));
-  }
-
-  template <class Server>
-  std::string Open(Server& server) {
-    const std::uint16_t port = FreePort(io);
-    REQUIRE(server.Open("127.0.0.1", port));
-    return "127.0.0.1:" + std::to_string(port);
-  }
-
-  GatewayNode& AddNode(const std::string& data_centre = "here") {
-    const std::string number = std::to_string(nodes.size() + 1);
-    GatewaySettings node_settings;
-    node_settings.host = HostName("host-" + number);
-    node_settings.data_centre = DataCentreName(data_centre);
-    node_settings.ip = "127.0.0." + number;
-    node_settings.callers = node_settings.ip + ":" + std::to_string(FreePort(io));
-    node_settings.readiness = node_settings.ip + ":" + std::to_string(FreePort(io));
-    node_settings.directory = node_settings.ip + ":" + std::to_string(FreePort(io));
-    node_settings.peer_port = FreePort(io);
-    node_settings.metrics_port = FreePort(io);
-    node_settings.store_address = store_address;
-    node_settings.first_start = true;
-    node_settings.leaving_bound = milliseconds(800);
-    node_settings.grace = seconds(4);
-    settings.push_back(node_settings);
-    nodes.push_back(
-        std::make_unique<GatewayNode>(io, node_settings, *adapter, StartId(nodes.size() + 1)));
-    REQUIRE(nodes.back()->Start());
-    return *nodes.back();
-  }
-
-  /// Sends one request on a new connection and returns everything received until it closes.
-  std::string Get(const std::string& address, const std::string& target) {
-    TestCaller caller(io);
-    caller.Connect(address);
-    caller.Write("GET " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q" +
-                 std::to_string(++requests_sent) + "\r\nConnection: close\r\n\r\n");
-    RunUntil(io, [&] { return caller.ended; });
-    return caller.received;
-  }
-  bool IsReady(std::size_t node) {
-    return Get(settings[node].readiness, "/readiness").starts_with("HTTP/1.1 200");
-  }
-  std::string Addresses(std::size_t node) {
-    return Get(settings[node].directory, "/resolve?Name=h.example&Region=r&Zone=here");
-  }
-  bool Advertises(std::size_t queried_node, std::size_t advertised_node) {
-    return Addresses(queried_node).find(settings[advertised_node].callers) != std::string::npos;
-  }
-
-  asio::io_context io;
-  std::unique_ptr<gateway::PlatformAdapter> adapter = MakeAdapter();
-  FakeStore store;
-  FakeBackendServer server_one;
-  FakeBackendServer server_two;
-  std::string store_address;
-  std::vector<GatewaySettings> settings;
-  std::vector<std::unique_ptr<GatewayNode>> nodes;
-  int requests_sent = 0;
-};
-
-TEST_CASE_FIXTURE(Fixture, "a node is ready and serves requests once it has read the store") {
+TEST_CASE_FIXTURE(NodeFixture, "a node is ready and serves requests once it has read the store") {
   AddNode();
   CHECK_FALSE(IsReady(0));
   CHECK(RunUntil(io, [&] { return IsReady(0); }));
@@ -126,7 +31,7 @@
 }
 
 TEST_CASE_FIXTURE(
-    Fixture,
+    NodeFixture,
     "a node that can't read the store rejects requests until soon after the store recovers") {
   store.SetMode(StoreMode::kUnavailable);
   AddNode();
@@ -139,7 +44,7 @@
   CHECK(MonotonicClock::now() - recovered_at < seconds(2));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a node recovers after the store has dropped responses") {
+TEST_CASE_FIXTURE(NodeFixture, "a node recovers after the store has dropped responses") {
   AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
   store.SetMode(StoreMode::kDropsResponses);
@@ -152,7 +57,7 @@
   CHECK(MonotonicClock::now() - changed < seconds(3));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a configuration change reaches nodes that do not read the store") {
+TEST_CASE_FIXTURE(NodeFixture, "a configuration change reaches nodes that do not read the store") {
   for (int i = 0; i < 4; ++i) AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0) && IsReady(3); }));
   RunFor(io, seconds(1));
@@ -166,7 +71,8 @@
   CHECK(store.calls() - before <= 8);
 }
 
-TEST_CASE_FIXTURE(Fixture, "nodes that receive updates from others make few calls to the store") {
+TEST_CASE_FIXTURE(NodeFixture,
+                  "nodes that receive updates from others make few calls to the store") {
   for (int i = 0; i < 8; ++i) AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0) && IsReady(7); }));
   // Per start: the write of the own record, the host list, and the newest records of two topics.
@@ -182,7 +88,7 @@
   CHECK(store.calls() - before <= 20);
 }
 
-TEST_CASE_FIXTURE(Fixture, "few nodes retry a store that rejects all calls") {
+TEST_CASE_FIXTURE(NodeFixture, "few nodes retry a store that rejects all calls") {
   for (int i = 0; i < 8; ++i) AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0) && IsReady(7); }));
   RunFor(io, seconds(1));
@@ -200,7 +106,7 @@
   }
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(NodeFixture,
                   "a reader whose last read failed retries soon when others have newer records") {
   gateway::StoreClient client(io, store_address);
   int records = 0;
@@ -224,7 +130,7 @@
   CHECK(store.calls() - before <= 3);
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(NodeFixture,
                   "after a change of the store's address, nothing is sent to the old one") {
   FakeStore new_store(io);
   const std::string new_address = Open(new_store);
@@ -242,7 +148,7 @@
   CHECK(new_store.calls() == 1);
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(NodeFixture,
                   "no node sends requests to a server soon after it announces that it is leaving") {
   store.Put("keyed.servers", "i-3", EntryText("s", "127.0.0.1:1"));
   for (int i = 0; i < 3; ++i) AddNode();
@@ -255,7 +161,7 @@
   CHECK(server_one.runs().size() == runs);
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(NodeFixture,
                   "a node that shuts down finishes its requests and is no longer advertised") {
   AddNode();
   AddNode();
@@ -280,7 +186,7 @@
   CHECK(Get(settings[0].callers, "/read/b").starts_with("HTTP/1.1 200"));
 }
 
-TEST_CASE_FIXTURE(Fixture, "other nodes regard a restarted node as ready") {
+TEST_CASE_FIXTURE(NodeFixture, "other nodes regard a restarted node as ready") {
   AddNode();
   AddNode();
   REQUIRE(RunUntil(io, [&] { return Advertises(1, 0); }));
@@ -298,7 +204,7 @@
   CHECK(store.calls() - calls <= 12);
 }
 
-TEST_CASE_FIXTURE(Fixture, "reloaded settings change the time limits and the log level") {
+TEST_CASE_FIXTURE(NodeFixture, "reloaded settings change the time limits and the log level") {
   GatewayNode& node = AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
   RunFor(io, milliseconds(500));
