Gateway: a host that shuts down accepts only what it can still answer

Callers saw: a request that was taken 5.4 s after the SIGTERM of its host (grace time 6 s), ran on a server, and ended with a closed connection.

Cause: the host ended when it found no request pending at a check (each 200 ms), and kept its port and connections open until then. A host that callers still reach is never without a pending request, so its only end was the time limit of nine tenths of the grace time, which closed whatever was pending; and until that moment, and in the 50 ms after it, each request that came was passed on to a server.

Change: ShutdownPolicy decides from times alone. While all that a host accepts can be answered before its end, it serves as before; from the longest timeout of the routes before the end, it closes its port and idle connections whether or not requests are pending. A request that might outlast the process is refused with 503 at once and has not run. What is unfinished at the end all the same (a route that allows more than the grace time) gets 504, or 503 if it has not run, and a request of which only a part has arrived gets 503.

--- a/src/libgateway/caller_server.cc
+++ b/src/libgateway/caller_server.cc
@@ -52,6 +52,7 @@
 
   void Respond(ExchangeId exchange, std::string head, const std::string& body, bool close);
   void Sweep(TimePoint now);
+  void RefuseIncomplete();
   /// Reads what has arrived until there is a request.
   void ReadArrived();
   bool lingering() const { return lingering_; }
@@ -336,6 +337,12 @@
   if (write_stalled || (idle() && now - last_active_ > server_.limits_.idle_timeout)) Close();
 }
 
+void CallerSession::RefuseIncomplete() {
+  if (closed_ || lingering_ || !reader_.started()) return;
+  reader_.Reset();
+  Reject("HTTP/1.1 503 Service Unavailable\r\n");
+}
+
 void CallerSession::Close() {
   if (closed_) return;
   closed_ = true;
@@ -406,11 +413,19 @@
   return counts;
 }
 
+std::vector<std::shared_ptr<CallerSession>> CallerServer::Sessions() const {
+  std::vector<std::shared_ptr<CallerSession>> sessions;
+  sessions.reserve(sessions_.size());
+  for (const auto& [key, session] : sessions_) sessions.push_back(session);
+  return sessions;
+}
+
+void CallerServer::RefuseIncomplete() {
+  for (const auto& session : Sessions()) session->RefuseIncomplete();
+}
+
 void CallerServer::Sweep(TimePoint now) {
-  std::vector<std::shared_ptr<CallerSession>> all;
-  all.reserve(sessions_.size());
-  for (const auto& [key, session] : sessions_) all.push_back(session);
-  for (const auto& session : all) session->Sweep(now);
+  for (const auto& session : Sessions()) session->Sweep(now);
 }
 
 }  // namespace mulberry::gateway
--- a/src/libgateway/caller_server.h
+++ b/src/libgateway/caller_server.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "libbase/base.h"
 #include "libgateway/http_reader.h"
@@ -65,6 +66,8 @@
   /// Reads what has arrived, then closes the connections on which no request is being received,
   /// processed or answered.
   void CloseIdle();
+  /// Refuses the requests of which only a part has arrived.
+  void RefuseIncomplete();
 
   /// Sends a response with a head (status line and header lines, without the blank line,
   /// Content-Length and Connection) and a body. Does nothing if the exchange is unknown or has a
@@ -80,6 +83,9 @@
 
  private:
   friend class CallerSession;
+  /// Copies the list, so that sessions may close while it is used.
+  std::vector<std::shared_ptr<CallerSession>> Sessions() const;
+
   asio::io_context& io_;
   CallerEvents& events_;
   MemoryBudget* memory_;
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -89,17 +89,19 @@
 /// no route.
 bool Forwarder::Admit(Call& call) {
   if (!deps_.config.ready()) {
-    Refuse(call.exchange, kStatusUnavailable, "no_configuration", call.request_id);
+    Refuse(call.exchange, kStatusUnavailable, "no_configuration", call.request_id,
+           kRefusalRetryAfter);
     return false;
   }
   const std::string* host = FindHeader(call.request.headers, "host");
   if (host == nullptr || call.request.target.empty() || call.request.target.front() != '/') {
-    Refuse(call.exchange, kStatusBadRequest, "no_host_or_path", call.request_id);
+    Refuse(call.exchange, kStatusBadRequest, "no_host_or_path", call.request_id,
+           kRefusalRetryAfter);
     return false;
   }
   call.route = deps_.config.routes().Find(*host, PathOf(call.request.target));
   if (call.route == nullptr) {
-    Refuse(call.exchange, kStatusNotFound, "no_route", call.request_id);
+    Refuse(call.exchange, kStatusNotFound, "no_route", call.request_id, kRefusalRetryAfter);
     return false;
   }
   call.service = traffic_splitter_.Next(*call.route);
@@ -112,6 +114,11 @@
     }
   }
   call.deadline = call.arrived + limit;
+  if (shutdown_ && !shutdown_->Accepts(call.deadline + kDeadlineGrace, call.arrived)) {
+    // Other hosts can serve the request at once.
+    Refuse(call.exchange, kStatusUnavailable, "stopping", call.request_id, Duration::zero());
+    return false;
+  }
   call.state.idempotent = call.route->idempotent;
   call.state.max_attempts = call.route->max_attempts;
   auto [budget, is_new] = retry_budgets_.try_emplace(call.service, deps_.retries);
@@ -122,7 +129,7 @@
 
 void Forwarder::OnMemoryFull(ExchangeId exchange, const HttpMessage& head) {
   const std::string* id = FindHeader(head.headers, deps_.adapter.headers().request_id);
-  Refuse(exchange, kStatusUnavailable, "memory_full", id == nullptr ? "" : *id);
+  Refuse(exchange, kStatusUnavailable, "memory_full", id == nullptr ? "" : *id, kRefusalRetryAfter);
 }
 
 void Forwarder::OnDisconnected(ExchangeId exchange) {
@@ -404,7 +411,7 @@
 }
 
 void Forwarder::Refuse(ExchangeId exchange, int status, std::string_view reason,
-                       const std::string& request_id) {
+                       const std::string& request_id, Duration retry_after) {
   deps_.metrics.OnRefusal(reason);
   LogEvent(LogLevel::kInfo, "refused",
            {{"request", request_id},
@@ -412,7 +419,7 @@
             {"reason", std::string(reason)},
             {"version", deps_.config.version().value()}});
   std::optional<Duration> retry_after_header;
-  if (status == kStatusUnavailable) retry_after_header = kRefusalRetryAfter;
+  if (status == kStatusUnavailable) retry_after_header = retry_after;
   server_->Respond(
       exchange,
       WriteLocalResponseHead(status, retry_after_header, request_id, deps_.adapter.headers()),
@@ -495,6 +502,31 @@
 
 void Forwarder::Sweep(TimePoint now) { links_.Sweep(now); }
 
+void Forwarder::FailAll(TimePoint now) {
+  std::vector<CallId> unanswered;
+  for (const auto& [id, call] : calls_) {
+    if (!call->answered) unanswered.push_back(id);
+  }
+  for (const CallId id : unanswered) {
+    Call& call = *Find(id);
+    const bool may_have_run = call.state.may_have_run || !call.running.empty();
+    // A request that is reported as not run must not run later.
+    CancelAttempts(call, AttemptOutcome::kCancelled, now);
+    call.state.may_have_run = may_have_run;
+    FailCall(call, FailureStatus(may_have_run, true), "stopping", Duration::zero(), now);
+    EraseIfDone(id);
+  }
+}
+
+Duration Forwarder::LongestCall() const {
+  Duration longest{};
+  if (!deps_.config.ready()) return longest;
+  for (const Route& route : deps_.config.config().routes) {
+    longest = std::max(longest, route.timeout);
+  }
+  return longest + kDeadlineGrace;
+}
+
 std::vector<ServerName> Forwarder::TakeReported() {
   std::vector<ServerName> reported(reported_.begin(), reported_.end());
   reported_.clear();
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -21,6 +22,7 @@
 #include "libgateway/retry_budget.h"
 #include "libgateway/retry_policy.h"
 #include "libgateway/server_pool.h"
+#include "libgateway/shutdown_policy.h"
 
 namespace mulberry::gateway {
 
@@ -48,6 +50,8 @@
   /// Sets this host's share, 0 to 1, of the fleet-wide retry slack.
   void SetSlackShare(double share);
   void SetRetryLimits(const RetryLimits& limits);
+  /// From now on, refuses requests that might not be answered before the host exits.
+  void SetShutdown(const ShutdownPolicy& policy) { shutdown_ = policy; }
 
   void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) override;
   void OnDisconnected(ExchangeId exchange) override;
@@ -56,6 +60,10 @@
   /// Dispatches queued calls again after capacity may have become available.
   void DispatchQueued();
   void Sweep(TimePoint now);
+  /// Gives all calls that have no response an error response.
+  void FailAll(TimePoint now);
+  /// Upper bound of the time from a request's arrival to its response.
+  Duration LongestCall() const;
   /// Requests accepted since the start.
   std::uint64_t requests() const { return next_call_ - 1; }
   std::size_t calls() const { return calls_.size(); }
@@ -107,7 +115,7 @@
                 TimePoint now);
   void Reply(Call& call, std::string head, const std::string& body);
   void Refuse(ExchangeId exchange, int status, std::string_view reason,
-              const std::string& request_id);
+              const std::string& request_id, Duration retry_after);
   void CancelAttempts(Call& call, AttemptOutcome end, TimePoint now);
   void EraseIfDone(CallId id);
   static QueuedCall ToQueuedCall(const Call& call);
@@ -123,6 +131,7 @@
   TrafficSplitter traffic_splitter_{std::random_device{}()};
   std::map<ServiceName, RetryBudget> retry_budgets_;
   double slack_share_ = 0;
+  std::optional<ShutdownPolicy> shutdown_;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   std::unordered_map<ExchangeId, CallId> calls_by_exchange_;
   std::map<ServiceName, CallQueue> queues_;
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -22,10 +22,6 @@
 constexpr Duration kHostListTimeout = std::chrono::seconds(3);
 /// Callers query the directory again after this time.
 constexpr Duration kAddressTtl = std::chrono::seconds(2);
-/// A host that shuts down serves for at least this long, because callers cache its address.
-constexpr Duration kMinShutdownTime = std::chrono::milliseconds(2500);
-/// Fraction of the grace period after which a host that shuts down exits in any case.
-constexpr double kMaxShutdownFraction = 0.9;
 /// Pause between log lines about what a shutdown waits for.
 constexpr Duration kShutdownLogInterval = std::chrono::seconds(1);
 /// Fraction of the request limit of a cold server that all hosts of a data centre use together.
@@ -261,7 +257,7 @@
   heartbeat.request_rate = request_rate_;
   heartbeat.start = start_;
   heartbeat.caller_address = settings_.callers;
-  heartbeat.leaving = shutting_down_;
+  heartbeat.leaving = shutdown_.has_value();
   heartbeat.ready = Ready();
   heartbeat.version = config_.version();
   heartbeat.operator_offset = store_view_.operator_offset();
@@ -303,9 +299,7 @@
   SendHeartbeat();
 }
 
-bool GatewayNode::Ready() const {
-  return config_.ready() && store_view_.complete() && !shutting_down_;
-}
+bool GatewayNode::Ready() const { return config_.ready() && store_view_.complete() && !shutdown_; }
 
 HttpResponse GatewayNode::HandleReadiness(const HttpMessage& request) const {
   if (!adapter_.IsReadinessRequest(request.target)) return {kStatusNotFound, "", ""};
@@ -324,7 +318,7 @@
 }
 
 void GatewayNode::UpdateFleetState(TimePoint now) {
-  fleet_.SetOwnState(Ready(), shutting_down_, store_view_.reachable());
+  fleet_.SetOwnState(Ready(), shutdown_.has_value(), store_view_.reachable());
   fleet_.SetLocalUsableShare(pool_.LocalUsableShare(now));
   forwarder_.SetSlackShare(1.0 / static_cast<double>(fleet_.HostCount()));
   pool_.SetColdShare(ColdShare(now));
@@ -356,7 +350,7 @@
   forwarder_.DispatchQueued();
   UpdateGauges();
   FlushLog();
-  if (shutting_down_ && CanFinishShutdown(now)) {
+  if (shutdown_ && CanFinishShutdown(now)) {
     FinishShutdown(now);
     return;
   }
@@ -409,32 +403,36 @@
 }
 
 void GatewayNode::Stop() {
-  if (shutting_down_) return;
-  shutting_down_ = true;
+  if (shutdown_) return;
   shutdown_started_at_ = MonotonicClock::now();
+  shutdown_.emplace(shutdown_started_at_, settings_.grace);
   LogEvent(LogLevel::kInfo, "stopping",
            {{"connections", caller_server_.connections()}, {"requests", forwarder_.calls()}});
   caller_server_.SetDraining();
+  forwarder_.SetShutdown(*shutdown_);
   UpdateFleetState(shutdown_started_at_);
   broadcasts_left_ = kBroadcastHeartbeats;
   SendHeartbeatNow();
 }
 
 bool GatewayNode::CanFinishShutdown(TimePoint now) {
-  const Duration passed = now - shutdown_started_at_;
-  const auto longest = Duration(static_cast<std::int64_t>(
-      static_cast<double>(settings_.grace.count()) * kMaxShutdownFraction));
-  if (passed >= longest) return true;
-  if (passed < kMinShutdownTime) return false;
   if (now - shutdown_logged_at_ >= kShutdownLogInterval) {
     LogShutdown("stop_waits", now);
     shutdown_logged_at_ = now;
   }
-  if (caller_server_.pending_requests() > 0) return false;
-  // Requests that have arrived by now are answered first; with the port closed no others follow.
-  caller_server_.StopAccepting();
-  caller_server_.CloseIdle();
-  return caller_server_.connections() == 0;
+  switch (shutdown_->Next(caller_server_.pending_requests(), forwarder_.LongestCall(), now)) {
+    case ShutdownStep::kServe:
+      return false;
+    case ShutdownStep::kCloseIdle:
+      // Requests that have arrived by now are answered first; with the port closed no others
+      // follow.
+      caller_server_.StopAccepting();
+      caller_server_.CloseIdle();
+      return caller_server_.connections() == 0;
+    case ShutdownStep::kExit:
+      return true;
+  }
+  return true;
 }
 
 void GatewayNode::LogShutdown(const char* event, TimePoint now) const {
@@ -453,6 +451,8 @@
   LogShutdown("stopped", now);
   FlushLog();
   caller_server_.StopAccepting();
+  forwarder_.FailAll(now);
+  caller_server_.RefuseIncomplete();
   exit_timer_.expires_after(kFinalFlushTime);
   exit_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) io_.stop();
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
 #include "libgateway/server_pool.h"
+#include "libgateway/shutdown_policy.h"
 #include "libgateway/store_client.h"
 #include "libgateway/store_view.h"
 #include "libgateway/sync_http_server.h"
@@ -96,6 +98,8 @@
   asio::steady_timer heartbeat_timer_;
   asio::steady_timer exit_timer_;
   TimePoint started_at_;
+  /// Set once the host shuts down.
+  std::optional<ShutdownPolicy> shutdown_;
   TimePoint shutdown_started_at_;
   TimePoint shutdown_logged_at_;
   double request_rate_ = 0;               ///< Requests per second, moving average.
@@ -104,7 +108,6 @@
   std::uint64_t heartbeats_sent_ = 0;
   /// Number of coming heartbeats that go to all hosts.
   std::uint32_t broadcasts_left_ = 0;
-  bool shutting_down_ = false;
   bool was_ready_ = false;
 };
 
