--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -508,9 +508,10 @@
     if (!call->answered) unanswered.push_back(id);
   }
   for (const CallId id : unanswered) {
-    Call& call = *Find(id);
+    Call* found = Find(id);
+    if (found == nullptr) continue;
+    Call& call = *found;
     const bool may_have_run = call.state.may_have_run || !call.running.empty();
-    // A request that is reported as not run must not run later.
     CancelAttempts(call, AttemptOutcome::kCancelled, now);
     call.state.may_have_run = may_have_run;
     FailCall(call, FailureStatus(may_have_run, true), "stopping", Duration::zero(), now);
@@ -518,15 +519,6 @@
   }
 }
 
-Duration Forwarder::LongestCall() const {
-  Duration longest{};
-  if (!deps_.config.ready()) return longest;
-  for (const Route& route : deps_.config.config().routes) {
-    longest = std::max(longest, route.timeout);
-  }
-  return longest + kDeadlineGrace;
-}
-
 std::vector<ServerName> Forwarder::TakeReported() {
   std::vector<ServerName> reported(reported_.begin(), reported_.end());
   reported_.clear();
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -62,8 +62,6 @@
   void Sweep(TimePoint now);
   /// Gives all calls that have no response an error response.
   void FailAll(TimePoint now);
-  /// Upper bound of the time from a request's arrival to its response.
-  Duration LongestCall() const;
   /// Requests accepted since the start.
   std::uint64_t requests() const { return next_call_ - 1; }
   std::size_t calls() const { return calls_.size(); }
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -350,10 +350,8 @@
   forwarder_.DispatchQueued();
   UpdateGauges();
   FlushLog();
-  if (shutdown_ && CanFinishShutdown(now)) {
-    FinishShutdown(now);
-    return;
-  }
+  if (exiting_) return;
+  if (shutdown_) ContinueShutdown(now);
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) Tick();
@@ -413,26 +411,24 @@
   UpdateFleetState(shutdown_started_at_);
   broadcasts_left_ = kBroadcastHeartbeats;
   SendHeartbeatNow();
+  exit_timer_.expires_after(shutdown_->exit_at() - shutdown_started_at_);
+  exit_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) ContinueShutdown(MonotonicClock::now());
+  });
 }
 
-bool GatewayNode::CanFinishShutdown(TimePoint now) {
+/// Closes what is idle when it is time; exits when no connection is left.
+void GatewayNode::ContinueShutdown(TimePoint now) {
   if (now - shutdown_logged_at_ >= kShutdownLogInterval) {
     LogShutdown("stop_waits", now);
     shutdown_logged_at_ = now;
   }
-  switch (shutdown_->Next(caller_server_.pending_requests(), forwarder_.LongestCall(), now)) {
-    case ShutdownStep::kServe:
-      return false;
-    case ShutdownStep::kCloseIdle:
-      // Requests that have arrived by now are answered first; with the port closed no others
-      // follow.
-      caller_server_.StopAccepting();
-      caller_server_.CloseIdle();
-      return caller_server_.connections() == 0;
-    case ShutdownStep::kExit:
-      return true;
-  }
-  return true;
+  const ShutdownStep step = shutdown_->StepAt(now);
+  if (step == ShutdownStep::kServe) return;
+  // Requests that have arrived by now are answered first; with the port closed no others follow.
+  caller_server_.StopAccepting();
+  caller_server_.CloseIdle();
+  if (step == ShutdownStep::kExit || caller_server_.connections() == 0) FinishShutdown(now);
 }
 
 void GatewayNode::LogShutdown(const char* event, TimePoint now) const {
@@ -448,11 +444,11 @@
 }
 
 void GatewayNode::FinishShutdown(TimePoint now) {
+  if (std::exchange(exiting_, true)) return;
   LogShutdown("stopped", now);
-  FlushLog();
-  caller_server_.StopAccepting();
   forwarder_.FailAll(now);
   caller_server_.RefuseIncomplete();
+  FlushLog();
   exit_timer_.expires_after(kFinalFlushTime);
   exit_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) io_.stop();
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -42,8 +42,9 @@
   /// Applies reloaded settings. Changed addresses and names take effect only after a restart.
   void Reload(const GatewaySettings& settings);
 
-  /// Shuts down gracefully: reports not ready, leaves the directory, and exits once no request is
-  /// pending or shortly before the grace period ends.
+  /// Shuts down gracefully: reports not ready, leaves the directory, serves while callers cache its
+  /// address, then closes what is idle, and exits once no connection is left or shortly before the
+  /// grace period ends. The grace period is that of the settings at this time.
   void Stop();
 
  private:
@@ -69,7 +70,7 @@
   bool Ready() const;
   double ColdShare(TimePoint now) const;
   void UpdateGauges();
-  bool CanFinishShutdown(TimePoint now);
+  void ContinueShutdown(TimePoint now);
   /// Logs how long the shutdown has lasted and what the callers' connections are doing.
   void LogShutdown(const char* event, TimePoint now) const;
   void FinishShutdown(TimePoint now);
@@ -109,6 +110,7 @@
   /// Number of coming heartbeats that go to all hosts.
   std::uint32_t broadcasts_left_ = 0;
   bool was_ready_ = false;
+  bool exiting_ = false;
 };
 
 }  // namespace mulberry::gateway
--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -482,6 +482,32 @@
   CHECK(RequestsAtServers() == 1);
 }
 
+TEST_CASE_FIXTURE(Fixture, "at the exit, what may have run gets 504 and what waits gets 503") {
+  constexpr std::size_t kSlots = 8;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  const auto send = [&] {
+    callers.push_back(std::make_unique<TestCaller>(io));
+    callers.back()->Connect(port);
+    callers.back()->Write("POST /write/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n");
+  };
+  for (std::size_t i = 0; i < kSlots; ++i) send();
+  REQUIRE(RunUntil(io, [&] { return RequestsAtServers() == kSlots; }));
+  for (int i = 0; i < 2; ++i) send();
+  REQUIRE(RunUntil(io, [&] { return forwarder.calls() == kSlots + 2; }));
+  forwarder.FailAll(MonotonicClock::now());
+  CHECK(forwarder.calls() == 0);
+  std::map<std::string, int> statuses;
+  for (const auto& each : callers) {
+    REQUIRE(RunUntil(io, [&] { return each->received.find("stopping") != std::string::npos; }));
+    ++statuses[each->received.substr(std::string("HTTP/1.1 ").size(), 3)];
+  }
+  CHECK(statuses == std::map<std::string, int>{{"503", 2}, {"504", 8}});
+  CHECK(RequestsAtServers() == kSlots);
+  for (const ScriptedServer* scripted : {&first, &second}) {
+    for (const auto& at : scripted->connections) CHECK(RunUntil(io, [&] { return at->ended; }));
+  }
+}
+
 TEST_CASE_FIXTURE(Fixture, "when the caller leaves, the server's connection is closed") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
