Tests: the fake store can come back from a copy

A test can save a copy of all topics and restore it: what was written since is gone, its offsets are given out again, and the era in the header Store-Era of all answers rises by one. A read from an offset that a topic doesn't have gets 410. Waiting reads are answered at the restore. Nothing uses it yet.

--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -47,7 +47,7 @@
   void Put(const std::string& name, const std::string& key, std::optional<std::string> value) {
     Topic& topic = topics_[name];
     if (value) {
-      topic.newest[key] = {*value, topic.first + topic.records.size()};
+      topic.newest[key] = {*value, topic.End()};
     } else {
       topic.newest.erase(key);
     }
@@ -63,6 +63,23 @@
     }
   }
 
+  /// Keeps a copy of all topics for Restore; an earlier copy is dropped.
+  void SaveCopy() { copy_ = topics_; }
+
+  /// Comes back from the copy, or empty if none was saved. What was written since is gone, and its
+  /// offsets are given out again. The era rises by one. Waiting reads get what the copy holds.
+  void Restore() {
+    topics_ = copy_;
+    ++era_;
+    const auto waiting_reads = waiting_reads_;
+    for (const auto& [exchange, read] : waiting_reads) {
+      if (mode_ == StoreMode::kServing) RespondToRead(exchange, read);
+    }
+  }
+  std::uint64_t era() const { return era_; }
+  /// The offset that the next record of the topic gets.
+  std::uint64_t End(const std::string& name) { return topics_[name].End(); }
+
   std::size_t Keys(const std::string& name) { return topics_[name].newest.size(); }
 
   void OnRequest(gateway::ExchangeId exchange, gateway::HttpMessage request, TimePoint) override {
@@ -98,6 +115,7 @@
     std::uint64_t first = 0;
     std::vector<std::string> records;  ///< Encoded.
     std::map<std::string, Newest> newest;
+    std::uint64_t End() const { return first + records.size(); }
   };
   struct WaitingRead {
     std::string topic;
@@ -119,7 +137,10 @@
 
   void Respond(gateway::ExchangeId exchange, int status, const std::string& body) {
     if (dropped_responses_.erase(exchange) > 0) return;
-    server_.Respond(exchange, "HTTP/1.1 " + std::to_string(status) + " -\r\n", body);
+    server_.Respond(
+        exchange,
+        "HTTP/1.1 " + std::to_string(status) + " -\r\nStore-Era: " + std::to_string(era_) + "\r\n",
+        body);
   }
 
   void OnAppend(gateway::ExchangeId exchange, const std::string& topic, const std::string& body) {
@@ -142,8 +163,7 @@
       absl::Base64Escape(newest.value, &encoded);
       items.push_back({{"Key", key}, {"Value", encoded}, {"Offset", newest.offset}});
     }
-    const nlohmann::json body = {
-        {"items", items}, {"More", false}, {"End", topic.first + topic.records.size()}};
+    const nlohmann::json body = {{"items", items}, {"More", false}, {"End", topic.End()}};
     Respond(exchange, 200, body.dump());
   }
 
@@ -151,11 +171,7 @@
     const std::uint64_t from = std::stoull("0" + QueryField(target, "From"));
     const std::uint64_t wait_ms = std::stoull("0" + QueryField(target, "WaitMs"));
     const Topic& topic = topics_[name];
-    if (from < topic.first) {
-      Respond(exchange, 410, "{\"First\":" + std::to_string(topic.first) + "}");
-      return;
-    }
-    if (from == topic.first + topic.records.size() && wait_ms > 0) {
+    if (from == topic.End() && wait_ms > 0) {
       waiting_reads_[exchange] = {name, from};
       auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(wait_ms));
       timer->async_wait([this, timer, exchange](const asio::error_code&) {
@@ -170,9 +186,12 @@
   void RespondToRead(gateway::ExchangeId exchange, const WaitingRead& read) {
     waiting_reads_.erase(exchange);
     const Topic& topic = topics_[read.topic];
-    std::string body = BigEndian(topic.first + topic.records.size()) + BigEndian(topic.first);
-    for (std::uint64_t i = std::max(read.from, topic.first) - topic.first; i < topic.records.size();
-         ++i) {
+    if (read.from < topic.first || read.from > topic.End()) {
+      Respond(exchange, 410, "{\"First\":" + std::to_string(topic.first) + "}");
+      return;
+    }
+    std::string body = BigEndian(topic.End()) + BigEndian(topic.first);
+    for (std::uint64_t i = read.from - topic.first; i < topic.records.size(); ++i) {
       body += topic.records[i];
     }
     Respond(exchange, 200, body);
@@ -188,7 +207,9 @@
   asio::io_context& io_;
   StoreMode mode_ = StoreMode::kServing;
   std::uint64_t calls_ = 0;
+  std::uint64_t era_ = 1;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> copy_;
   std::map<gateway::ExchangeId, WaitingRead> waiting_reads_;
   std::set<gateway::ExchangeId> dropped_responses_;
   gateway::CallerServer server_;
