Gateway: log the store's era and the updates that count as known

The lines of a restored store did not tell what a host compares when it ignores or applies an update. store_era says that the era in the store's answers has risen, and the offset that the host is at; store_update_known that an update of another host ends below the own offset. No decision is changed.

Each host read the newest records of the second era and was at offset 3; then others, still at offset 4, handed it the records of before, which moved its offset to 4. The next configuration got offset 3.

--- a/src/libbase/ids.h
+++ b/src/libbase/ids.h
@@ -69,6 +69,9 @@
 /// Position in the platform's log. The first record has offset 1; zero means that no record was
 /// read.
 using Offset = StrongNumber<struct OffsetTag>;
+/// Rises each time the platform's log comes back from a copy, in which the last records are missing
+/// and their offsets are given out again. Zero means unknown.
+using StoreEra = StrongNumber<struct StoreEraTag>;
 /// Hash that identifies a group of backend servers, see GroupName.
 using GroupKey = StrongNumber<struct GroupKeyTag>;
 
--- a/src/libgateway/platform_adapter.h
+++ b/src/libgateway/platform_adapter.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "libgateway/http_message.h"
 #include "libgateway/types.h"
 
 namespace mulberry::gateway {
@@ -80,6 +81,8 @@
   /// Decode the bodies of responses with status 200. Errors: kCorrupt with the reason.
   virtual Result<NewestPage> ParseNewest(std::string_view body) const = 0;
   virtual Result<RecordPage> ParseRecords(std::string_view body, Offset from) const = 0;
+  /// The era of the store that sent a response with these headers; empty if it doesn't say.
+  virtual std::optional<StoreEra> ParseStoreEra(const HeaderList& headers) const = 0;
   /// True when the status says that the requested records have been deleted by retention.
   virtual bool IsExpired(int status) const = 0;
 
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -67,6 +67,14 @@
 }
 
 void StoreReader::OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records) {
+  if (to < follower_.next_offset()) {
+    LogEvent(topic_ == Topic::kOperator ? LogLevel::kInfo : LogLevel::kDebug, "store_update_known",
+             {{"topic", TopicName(topic_)},
+              {"from", from.value()},
+              {"to", to.value()},
+              {"records", records.size()},
+              {"offset", follower_.next_offset().value()}});
+  }
   // A running read started at an earlier offset and delivers these records a second time. That does
   // no harm, because they are applied in order.
   if (!follower_.OnRelayed(from, to, records)) RequestRead();
@@ -118,6 +126,15 @@
     return;
   }
   const HttpMessage& message = response.value();
+  const auto era = adapter_.ParseStoreEra(message.headers);
+  if (era && *era != era_) {
+    LogEvent(LogLevel::kInfo, "store_era",
+             {{"topic", TopicName(topic_)},
+              {"era", era->value()},
+              {"before", era_.value()},
+              {"offset", follower_.next_offset().value()}});
+    era_ = *era;
+  }
   if (adapter_.IsExpired(message.status)) {
     LogEvent(LogLevel::kInfo, "store_records_expired",
              {{"topic", TopicName(topic_)}, {"offset", follower_.next_offset().value()}});
--- a/src/libgateway/store_reader.h
+++ b/src/libgateway/store_reader.h
@@ -69,6 +69,8 @@
   bool records_missing_ = false;
   bool failing_ = false;
   bool has_responded_ = false;
+  /// As the last response stated it.
+  StoreEra era_;
   ReachabilityCallback reachability_callback_;
 };
 
--- a/tests/gateway/fake_adapter.h
+++ b/tests/gateway/fake_adapter.h
@@ -20,6 +20,7 @@
   Result<RecordPage> ParseRecords(std::string_view, Offset from) const override {
     return RecordPage{{}, from};
   }
+  std::optional<StoreEra> ParseStoreEra(const HeaderList&) const override { return std::nullopt; }
   bool IsExpired(int) const override { return false; }
   Result<OperatorUpdate> ParseOperatorRecord(const TopicRecord&) const override {
     return OperatorUpdate(UnknownUpdate());
