--- a/src/libgateway/catch_up_policy.cc
+++ b/src/libgateway/catch_up_policy.cc
@@ -12,9 +12,11 @@
 
 }  // namespace
 
-CatchUp CatchUpPolicy::OnPeerOffset(Offset own, Offset theirs, TimePoint now) {
+CatchUp CatchUpPolicy::OnPeerState(const OperatorState& own, const OperatorState& theirs,
+                                   TimePoint now) {
   CatchUp next;
-  if (theirs <= own) return next;
+  const bool lacks_records = theirs.position > own.position;
+  if (!lacks_records && theirs.version <= own.version) return next;
   if (!missing_since_ || own_ != own) {
     own_ = own;
     missing_since_ = now;
@@ -22,7 +24,7 @@
   }
   const Duration missing_for = now - *missing_since_;
   if (missing_for < kUpdateDelay) return next;
-  next.read_store = missing_for >= kReadStoreAfter;
+  next.read_store = lacks_records && missing_for >= kReadStoreAfter;
   if (asked_at_ && now - *asked_at_ < kAskInterval) return next;
   asked_at_ = now;
   next.ask_peer = true;
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -19,8 +19,8 @@
   bool leaving = false;
   bool ready = false;
   ConfigVersion version;
-  /// The next offset of the operators' topic that the host will read.
-  Offset operator_offset;
+  /// The host has applied the operators' topic up to this position.
+  TopicPosition operator_position;
   /// The host can reach the store.
   bool store_reachable = false;
   /// Fraction of the servers in the host's data centre that accept requests, as the host sees it.
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -46,6 +46,8 @@
 /// Part of the process's memory for the bodies of requests and responses. A body takes up to twice
 /// its size while it grows, and the rest of the process needs less than a fifth.
 constexpr double kBodyMemoryFraction = 0.4;
+/// Largest configuration that fits a datagram beside the other fields.
+constexpr std::size_t kMaxConfigRecordBytes = 24 * 1024;
 constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
 /// Time for the last responses to leave the sockets before the process exits.
 constexpr Duration kFinalFlushTime = std::chrono::milliseconds(50);
@@ -86,6 +88,14 @@
   return options;
 }
 
+/// The newest era of the store that the sender knows.
+StoreEra NewestEra(const PeerMessage& message) {
+  StoreEra era = message.heartbeat.operator_position.era;
+  if (message.server_update) era = std::max(era, message.server_update->era);
+  if (message.operator_update) era = std::max(era, message.operator_update->era);
+  return era;
+}
+
 }  // namespace
 
 GatewayNode::GatewayNode(asio::io_context& io, const GatewaySettings& settings,
@@ -99,11 +109,13 @@
       fleet_(MakeFleetOptions(settings)),
       store_(io, settings.store_address),
       store_view_(io, store_, adapter, {.leaving_bound = settings.leaving_bound}, *this),
-      host_list_(io, store_, adapter, MakeHostRecord(settings),
-                 [this](const HostRecord& host) {
-                   fleet_.Register(host);
-                   UpdateFleetState(MonotonicClock::now());
-                 }),
+      host_list_(
+          io, store_, adapter, MakeHostRecord(settings),
+          [this](const HostRecord& host) {
+            fleet_.Register(host);
+            UpdateFleetState(MonotonicClock::now());
+          },
+          [this](StoreEra era) { OnStoreEra(era); }),
       peer_channel_(io, [this](const PeerMessage& message) { OnPeerMessage(message); }),
       forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries}),
       health_checker_(io, adapter, pool_, metrics_),
@@ -202,6 +214,11 @@
 
 void GatewayNode::OnServerRemoved(const ServerName& id) { pool_.Remove(id); }
 
+void GatewayNode::OnStoreEra(StoreEra era) {
+  store_view_.OnEra(era, MonotonicClock::now());
+  host_list_.OnEra(era);
+}
+
 void GatewayNode::OnStoreUpdated() {
   forwarder_.DispatchQueued();
   CheckReady();
@@ -233,10 +250,13 @@
 void GatewayNode::OnPeerMessage(const PeerMessage& message) {
   const TimePoint now = MonotonicClock::now();
   if (!fleet_.OnHeartbeat(message.heartbeat, now)) return;
+  OnStoreEra(NewestEra(message));
+  if (message.config_record) store_view_.OnPeerConfig(*message.config_record);
   if (message.server_update || message.operator_update) store_view_.OnPeerUpdate(message, now);
   if (load_report_sync_.OnPeerMessage(message, now)) forwarder_.DispatchQueued();
   const HostHeartbeat& sender = message.heartbeat;
-  if (store_view_.OnPeerOffset(sender.operator_offset, now)) {
+  if (store_view_.OnPeerState({store_view_.operator_position(), config_.version()},
+                              {sender.operator_position, sender.version}, now)) {
     PeerMessage question;
     question.heartbeat = OwnHeartbeat();
     question.wants_operator_records = true;
@@ -247,12 +267,19 @@
 
 /// Sends the operators' records that another host lacks, as far as they are kept here.
 void GatewayNode::SendOperatorRecords(const HostHeartbeat& receiver) {
-  for (TopicUpdate& update : store_view_.OperatorUpdatesFor(receiver.operator_offset)) {
+  for (TopicUpdate& update : store_view_.OperatorUpdatesFor(receiver.operator_position)) {
     PeerMessage answer;
     answer.heartbeat = OwnHeartbeat();
     answer.operator_update = std::move(update);
     peer_channel_.Send(answer, {receiver.record.peer_address});
   }
+  const std::optional<TopicRecord>& record = store_view_.newest_config();
+  if (!record || receiver.version >= config_.version()) return;
+  if (record->value && record->value->size() > kMaxConfigRecordBytes) return;
+  PeerMessage answer;
+  answer.heartbeat = OwnHeartbeat();
+  answer.config_record = record;
+  peer_channel_.Send(answer, {receiver.record.peer_address});
 }
 
 HostHeartbeat GatewayNode::OwnHeartbeat() const {
@@ -264,7 +291,7 @@
   heartbeat.leaving = shutting_down_;
   heartbeat.ready = Ready();
   heartbeat.version = config_.version();
-  heartbeat.operator_offset = store_view_.operator_offset();
+  heartbeat.operator_position = store_view_.operator_position();
   heartbeat.local_usable_share = pool_.LocalUsableShare(MonotonicClock::now());
   heartbeat.store_reachable = store_view_.reachable();
   return heartbeat;
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -48,6 +48,7 @@
   void OnOperatorUpdate(OperatorUpdate update) override;
   bool OnServerEntry(const ServerEntry& entry) override;
   void OnServerRemoved(const ServerName& id) override;
+  void OnStoreEra(StoreEra era) override;
   void OnStoreUpdated() override;
   void OnStoreReachable(bool reachable) override;
   void OnUpdateForPeers(PeerMessage message) override;
--- a/src/libgateway/host_list.cc
+++ b/src/libgateway/host_list.cc
@@ -12,20 +12,26 @@
 constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(1000);
 /// The list changes rarely, and new hosts announce themselves by datagrams.
 constexpr Duration kReadInterval = std::chrono::seconds(60);
+/// After a restore, the hosts read the list at a random moment within this time.
+constexpr Duration kRestoreSpread = std::chrono::seconds(1);
 constexpr int kStatusOk = 200;
 
 }  // namespace
 
 HostList::HostList(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter,
-                   HostRecord self, HostFoundCallback host_found)
+                   HostRecord self, HostFoundCallback host_found,
+                   StoreReader::EraCallback era_callback)
     : store_(store),
       adapter_(adapter),
       self_(std::move(self)),
       host_found_(std::move(host_found)),
       reader_(
           io, store, adapter, Topic::kHosts, {.interval = kReadInterval},
-          [this](const TopicRecord& record) { OnRecord(record); }, [this](Offset) { OnRead(); }),
-      retry_timer_(io) {}
+          [this](const TopicRecord& record, RecordSource) { OnRecord(record); },
+          [this](TopicPosition) { OnRead(); }),
+      retry_timer_(io) {
+  reader_.SetEraCallback(std::move(era_callback));
+}
 
 void HostList::Start(bool first_start) {
   if (first_start) {
@@ -36,6 +42,13 @@
   reader_.Start();
 }
 
+void HostList::OnEra(StoreEra era) {
+  if (era <= era_) return;
+  era_ = era;
+  written_ = false;
+  reader_.OnEra(era, kRestoreSpread);
+}
+
 void HostList::OnRecord(const TopicRecord& record) {
   if (!record.value) return;
   const auto host = adapter_.ParseHost(record);
@@ -44,7 +57,7 @@
              {{"key", record.key}, {"error", host.error().message}});
     return;
   }
-  if (host.value() == self_) written_ = true;
+  if (host.value() == self_) written_ = announced_ = true;
   host_found_(host.value());
 }
 
@@ -62,7 +75,10 @@
 void HostList::OnWritten(const Result<HttpMessage>& response) {
   writing_ = false;
   if (response && response.value().status == kStatusOk) {
-    written_ = true;
+    // A write of an older era may be lost; the list, read again, will tell.
+    const auto era = adapter_.ParseStoreEra(response.value().headers);
+    written_ = !era || *era >= era_;
+    announced_ = true;
     LogEvent(LogLevel::kInfo, "host_announced", {{"host", self_.host.str()}});
     // Reads what other hosts have written since the list was last read.
     if (std::exchange(reading_started_, true)) {
--- a/src/libgateway/host_list.h
+++ b/src/libgateway/host_list.h
@@ -19,14 +19,18 @@
   using HostFoundCallback = std::function<void(const HostRecord&)>;
 
   HostList(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter,
-           HostRecord self, HostFoundCallback host_found);
+           HostRecord self, HostFoundCallback host_found, StoreReader::EraCallback era_callback);
 
   /// `first_start`: the whole system starts for the first time, so this host is not in the list
   /// yet. Otherwise the list is read first, and this host is added only if it is missing.
   void Start(bool first_start);
 
-  /// True once the list has been read and contains this host.
-  bool complete() const { return written_ && reader_.complete(); }
+  /// The store is in this era. A restored store may lack this host's record; the list is read
+  /// again, and the record is written if it is missing.
+  void OnEra(StoreEra era);
+
+  /// True once the list has been read and contained this host.
+  bool complete() const { return announced_ && reader_.complete(); }
 
  private:
   void OnRecord(const TopicRecord& record);
@@ -42,6 +46,9 @@
   asio::steady_timer retry_timer_;
   std::minstd_rand random_{std::random_device{}()};
   bool reading_started_ = false;
+  StoreEra era_;
+  bool announced_ = false;
+  /// The list contains this host, as far as is known.
   bool written_ = false;
   bool writing_ = false;
 };
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -11,26 +11,39 @@
 
 constexpr double kPercent = 100;
 
+void EncodeRecord(const TopicRecord& record, wire::TopicNews::Record* out) {
+  out->set_key(record.key);
+  out->set_removed(!record.value);
+  if (record.value) out->set_value(*record.value);
+}
+
 void EncodeUpdate(const TopicUpdate& update, wire::TopicNews* out) {
   out->set_from(update.from.value());
   out->set_to(update.to.value());
   out->set_unsettled_ms(static_cast<std::uint32_t>(ToMilliseconds(update.grace_time_left)));
+  out->set_era(update.era.value());
   for (const TopicRecord& record : update.records) {
     wire::TopicNews::Record* added = out->add_records();
-    added->set_key(record.key);
-    added->set_removed(!record.value);
-    if (record.value) added->set_value(*record.value);
+    EncodeRecord(record, added);
     added->set_place(static_cast<std::uint32_t>(record.offset.value() - update.from.value()));
   }
 }
 
+TopicRecord DecodeRecord(const wire::TopicNews::Record& in) {
+  std::optional<std::string> value;
+  if (!in.removed()) value = in.value();
+  return {in.key(), std::move(value)};
+}
+
 TopicUpdate DecodeUpdate(const wire::TopicNews& in) {
-  TopicUpdate update{
-      Offset(in.from()), Offset(in.to()), std::chrono::milliseconds(in.unsettled_ms()), {}};
+  TopicUpdate update{Offset(in.from()),
+                     Offset(in.to()),
+                     std::chrono::milliseconds(in.unsettled_ms()),
+                     {},
+                     StoreEra(in.era())};
   for (const wire::TopicNews::Record& record : in.records()) {
-    std::optional<std::string> value;
-    if (!record.removed()) value = record.value();
-    update.records.push_back({record.key(), std::move(value), Offset(in.from() + record.place())});
+    update.records.push_back(DecodeRecord(record));
+    update.records.back().offset = Offset(in.from() + record.place());
   }
   return update;
 }
@@ -48,7 +61,8 @@
   out.set_leaving(heartbeat.leaving);
   out.set_ready(heartbeat.ready);
   out.set_config_version(heartbeat.version.value());
-  out.set_operator_offset(heartbeat.operator_offset.value());
+  out.set_operator_offset(heartbeat.operator_position.offset.value());
+  out.set_operator_era(heartbeat.operator_position.era.value());
   out.set_store_answers(heartbeat.store_reachable);
   out.set_capacity(static_cast<float>(heartbeat.record.capacity));
   out.set_request_rate(static_cast<float>(heartbeat.request_rate));
@@ -57,6 +71,7 @@
   out.set_operator_records_wanted(message.wants_operator_records);
   if (message.server_update) EncodeUpdate(*message.server_update, out.mutable_server_news());
   if (message.operator_update) EncodeUpdate(*message.operator_update, out.mutable_operator_news());
+  if (message.config_record) EncodeRecord(*message.config_record, out.mutable_config_record());
   for (const auto& [server, count] : message.in_flight) {
     wire::InFlight* added = out.add_in_flight();
     added->set_id(server.str());
@@ -88,7 +103,7 @@
   heartbeat.leaving = in.leaving();
   heartbeat.ready = in.ready();
   heartbeat.version = ConfigVersion(in.config_version());
-  heartbeat.operator_offset = Offset(in.operator_offset());
+  heartbeat.operator_position = {StoreEra(in.operator_era()), Offset(in.operator_offset())};
   heartbeat.store_reachable = in.store_answers();
   heartbeat.record.capacity = in.capacity();
   heartbeat.request_rate = in.request_rate();
@@ -96,6 +111,7 @@
   message.wants_operator_records = in.operator_records_wanted();
   if (in.has_server_news()) message.server_update = DecodeUpdate(in.server_news());
   if (in.has_operator_news()) message.operator_update = DecodeUpdate(in.operator_news());
+  if (in.has_config_record()) message.config_record = DecodeRecord(in.config_record());
   if (heartbeat.record.host.empty() || !ParseEndpoint(heartbeat.record.peer_address) ||
       !ParseEndpoint(heartbeat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "datagram without a host name or a valid address");
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -13,6 +13,7 @@
 #include "libbase/base.h"
 #include "libgateway/fleet_view.h"
 #include "libgateway/platform_adapter.h"
+#include "libgateway/topic_update.h"
 #include "libgateway/types.h"
 
 namespace mulberry::gateway {
@@ -24,16 +25,6 @@
   Duration age{};
 };
 
-/// Part of a topic that another host has read.
-struct TopicUpdate {
-  Offset from{};
-  Offset to{};
-  /// How much longer entries that expired during an outage of the store may be written again.
-  Duration grace_time_left{};
-  /// The records between the offsets that change the state.
-  std::vector<TopicRecord> records;
-};
-
 /// The content of one datagram.
 struct PeerMessage {
   HostHeartbeat heartbeat;
@@ -42,8 +33,11 @@
   std::vector<std::pair<ServerName, std::uint32_t>> in_flight;
   std::optional<TopicUpdate> server_update;
   std::optional<TopicUpdate> operator_update;
-  /// The sender lacks the operators' records from HostHeartbeat::operator_offset on.
+  /// The sender lacks the operators' records from HostHeartbeat::operator_position on, or a newer
+  /// configuration than HostHeartbeat::version.
   bool wants_operator_records = false;
+  /// The record of the sender's configuration.
+  std::optional<TopicRecord> config_record;
 };
 
 /// Sends and receives UDP datagrams between entry hosts. Each carries the whole current state, so a
--- a/src/libgateway/platform_adapter.h
+++ b/src/libgateway/platform_adapter.h
@@ -50,12 +50,14 @@
   bool more = false;
   /// Records at or after this offset may be missing.
   Offset end;
+  StoreEra era{};
 };
 
 /// Consecutive records in topic order.
 struct RecordPage {
   std::vector<TopicRecord> records;
   Offset next;
+  StoreEra era{};
 };
 
 /// A caller's request for the addresses of entry hosts.
--- /dev/null
+++ b/src/libgateway/server_history.cc
@@ -0,0 +1,45 @@
+#include "libgateway/server_history.h"
+
+namespace mulberry::gateway {
+
+bool ServerHistory::Accept(const ServerEntry& entry, RecordSource source, StoreEra era) {
+  const auto [found, is_new] = servers_.try_emplace(entry.id);
+  Known& known = found->second;
+  if (!is_new && IsOlder(entry, known, source, era)) return false;
+  known = {entry.leaving ? State::kLeaving : State::kPresent, entry.started_at_ms, entry.sequence,
+           era};
+  return true;
+}
+
+bool ServerHistory::IsOlder(const ServerEntry& entry, const Known& known, RecordSource source,
+                            StoreEra era) {
+  // The newest record of a key after a restore, in place of what was known before it.
+  const bool from_copy = source == RecordSource::kNewest && known.era < era;
+  if (entry.started_at_ms != known.started_at_ms) {
+    return from_copy && entry.started_at_ms < known.started_at_ms;
+  }
+  if (known.state == State::kPresent || entry.leaving) return false;
+  // Hosts for which others read the store don't know the last sequence number of a server that was
+  // removed, so there it proves nothing.
+  if (from_copy && (known.state == State::kRemoved || entry.sequence == known.sequence)) {
+    return true;
+  }
+  return entry.sequence < known.sequence;
+}
+
+void ServerHistory::OnRemoved(const ServerName& id, StoreEra era) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || found->second.state == State::kRemoved) return;
+  found->second.state = State::kRemoved;
+  found->second.era = era;
+  removed_.push_back(id);
+  while (removed_.size() > max_removed_) ForgetOldest();
+}
+
+void ServerHistory::ForgetOldest() {
+  const auto oldest = servers_.find(removed_.front());
+  removed_.pop_front();
+  if (oldest != servers_.end() && oldest->second.state == State::kRemoved) servers_.erase(oldest);
+}
+
+}  // namespace mulberry::gateway
--- /dev/null
+++ b/src/libgateway/server_history.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "libgateway/topic_follower.h"
+#include "libgateway/types.h"
+
+namespace mulberry::gateway {
+
+/// Remembers which servers have announced that they are leaving or were removed, so that a restored
+/// store, whose entries may be older than that, does not bring them back. Does no I/O. Not thread
+/// safe.
+class ServerHistory {
+ public:
+  /// `max_removed`: how many removed servers are remembered; the oldest are forgotten first.
+  explicit ServerHistory(std::size_t max_removed) : max_removed_(max_removed) {}
+
+  /// Returns false when the entry is older than what is known and must be ignored. `era`: that of
+  /// the store from which the entry comes.
+  bool Accept(const ServerEntry& entry, RecordSource source, StoreEra era);
+  /// The server counts as removed since this era.
+  void OnRemoved(const ServerName& id, StoreEra era);
+
+  std::size_t size() const { return servers_.size(); }
+
+ private:
+  enum class State { kPresent, kLeaving, kRemoved };
+  struct Known {
+    State state = State::kPresent;
+    std::int64_t started_at_ms = 0;
+    std::uint64_t sequence = 0;
+    StoreEra era;
+  };
+  static bool IsOlder(const ServerEntry& entry, const Known& known, RecordSource source,
+                      StoreEra era);
+  void ForgetOldest();
+
+  std::size_t max_removed_;
+  std::map<ServerName, Known> servers_;
+  std::deque<ServerName> removed_;  ///< In order of removal; may hold servers that returned.
+};
+
+}  // namespace mulberry::gateway
--- a/src/libgateway/server_removal_policy.h
+++ b/src/libgateway/server_removal_policy.h
@@ -7,16 +7,20 @@
 
 namespace mulberry::gateway {
 
-/// Decides when a server whose entry is missing from the store is removed. Entries expire during a
-/// store outage although their servers still run, so after the outage there is a grace time in
-/// which servers can register again. Does no I/O: time is passed in. Not thread safe.
-class ServerRemovalPolicy {
+/// Decides when a server or a data centre whose entry is missing from the store is removed from
+/// what is known. Entries expire during a store outage although their servers still run, and a
+/// restored store lacks what was written last; so afterwards there is a grace time in which they
+/// can be written again. Does no I/O: time is passed in. Not thread safe.
+template <class Id>
+class RemovalPolicy {
  public:
-  /// `grace_time`: how long after a store outage missing entries may return.
-  explicit ServerRemovalPolicy(Duration grace_time) : grace_time_(grace_time) {}
+  /// `grace_time`: how long after a store outage or a restore missing entries may return.
+  explicit RemovalPolicy(Duration grace_time) : grace_time_(grace_time) {}
 
   /// Report whether the store is reachable.
   void OnStoreReachable(TimePoint now);
+  /// The store was restored; the grace time begins with the next read.
+  void OnStoreRestored() { store_unreachable_ = true; }
   void OnStoreUnreachable() { store_unreachable_ = true; }
 
   /// Remaining time in which a missing entry may return; zero when a missing entry means that its
@@ -24,12 +28,12 @@
   Duration GraceTimeLeft(TimePoint now) const;
   /// Records that another host saw an outage and waits for this long.
   void OnPeerGraceTime(Duration time_left, TimePoint now);
-  void OnEntryPresent(const ServerName& id) { missing_.erase(id); }
+  void OnEntryPresent(const Id& id) { missing_.erase(id); }
   /// Returns true when the server is to be removed now; otherwise TakeRemovable may return it
   /// later.
-  bool OnEntryMissing(const ServerName& id, TimePoint now);
+  bool OnEntryMissing(const Id& id, TimePoint now);
   /// Returns the servers whose grace time has expired without a new entry.
-  std::vector<ServerName> TakeRemovable(TimePoint now);
+  std::vector<Id> TakeRemovable(TimePoint now);
 
  private:
   bool MissingMeansGone(TimePoint now) const { return !store_unreachable_ && now >= grace_until_; }
@@ -37,7 +41,9 @@
   Duration grace_time_;
   bool store_unreachable_ = true;
   TimePoint grace_until_;
-  std::set<ServerName> missing_;
+  std::set<Id> missing_;
 };
 
+using ServerRemovalPolicy = RemovalPolicy<ServerName>;
+
 }  // namespace mulberry::gateway
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -66,23 +66,49 @@
   if (resumed && !call_pending_) ReadNow();
 }
 
-void StoreReader::OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records) {
-  if (to < follower_.next_offset()) {
-    LogEvent(topic_ == Topic::kOperator ? LogLevel::kInfo : LogLevel::kDebug, "store_update_known",
-             {{"topic", TopicName(topic_)},
-              {"from", from.value()},
-              {"to", to.value()},
-              {"records", records.size()},
-              {"offset", follower_.next_offset().value()}});
-  }
+void StoreReader::OnEra(StoreEra era, Duration spread) {
+  // The response to a first read tells its own era.
+  const bool restarts = follower_.complete() || follower_.reading_pages();
+  const TopicPosition before = follower_.position();
+  if (!follower_.OnEra(era) || !restarts) return;
+  LogEvent(LogLevel::kInfo, "store_restored",
+           {{"topic", TopicName(topic_)},
+            {"era", era.value()},
+            {"before", before.era.value()},
+            {"offset", before.offset.value()}});
+  records_missing_ = true;
+  call_pending_ = false;
+  ++last_call_;
+  const double random = std::uniform_real_distribution<double>(0, 1)(random_);
+  timer_.expires_after(
+      Duration(static_cast<std::int64_t>(static_cast<double>(spread.count()) * random)));
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) ReadNow();
+  });
+}
+
+void StoreReader::OnRelayed(const TopicUpdate& update) {
+  LogIgnoredUpdate(update);
   // A running read started at an earlier offset and delivers these records a second time. That does
   // no harm, because they are applied in order.
-  if (!follower_.OnRelayed(from, to, records)) RequestRead();
+  if (!follower_.OnRelayed(update)) RequestRead();
+}
+
+/// In the servers' topic, the updates of two readers overlap all the time.
+void StoreReader::LogIgnoredUpdate(const TopicUpdate& update) const {
+  const TopicPosition own = follower_.position();
+  if (update.records.empty() || TopicPosition{update.era, update.to} >= own) return;
+  LogEvent(topic_ == Topic::kServers ? LogLevel::kDebug : LogLevel::kInfo, "store_update_known",
+           {{"topic", TopicName(topic_)},
+            {"era", update.era.value()},
+            {"to", update.to.value()},
+            {"own_era", own.era.value()},
+            {"own_offset", own.offset.value()}});
 }
 
 void StoreReader::RunNextStep() {
   if (call_pending_) return;
-  if (suspended_ && follower_.complete() && !read_requested_ && !failing_) return;
+  if (suspended_ && follower_.up_to_date() && !read_requested_ && !failing_) return;
   const FollowStep step = follower_.Next();
   if (const auto* pause = std::get_if<FollowPause>(&step)) {
     timer_.expires_after(pause->wait);
@@ -96,7 +122,8 @@
   call_pending_ = true;
   LogEvent(LogLevel::kDebug, "store_read",
            {{"topic", TopicName(topic_)},
-            {"from", follower_.next_offset().value()},
+            {"era", follower_.era().value()},
+            {"from", follower_.position().offset.value()},
             {"requested", read_requested_},
             {"suspended", suspended_},
             {"failing", failing_}});
@@ -111,7 +138,8 @@
     call = adapter_.ReadRecords(topic_, std::get<FollowRecords>(step).from, wait);
     timeout += wait;
   }
-  store_.Call(call, timeout, [this, step](Result<HttpMessage> response) {
+  store_.Call(call, timeout, [this, step, number = ++last_call_](Result<HttpMessage> response) {
+    if (number != last_call_) return;
     call_pending_ = false;
     OnResponse(step, std::move(response));
     if (failing_) read_requested_ = false;
@@ -126,18 +154,12 @@
     return;
   }
   const HttpMessage& message = response.value();
-  const auto era = adapter_.ParseStoreEra(message.headers);
-  if (era && *era != era_) {
-    LogEvent(LogLevel::kInfo, "store_era",
-             {{"topic", TopicName(topic_)},
-              {"era", era->value()},
-              {"before", era_.value()},
-              {"offset", follower_.next_offset().value()}});
-    era_ = *era;
-  }
+  if (!AcceptEra(step, message)) return;
   if (adapter_.IsExpired(message.status)) {
     LogEvent(LogLevel::kInfo, "store_records_expired",
-             {{"topic", TopicName(topic_)}, {"offset", follower_.next_offset().value()}});
+             {{"topic", TopicName(topic_)},
+              {"era", follower_.era().value()},
+              {"offset", follower_.position().offset.value()}});
     follower_.OnExpired();
     return;
   }
@@ -145,34 +167,62 @@
     OnReadFailed("status " + std::to_string(message.status));
     return;
   }
-  const Offset requested_from = follower_.next_offset();
+  const TopicPosition before = follower_.position();
   const auto applied = ApplyResponse(step, message);
   if (!applied) {
     OnReadFailed(applied.error().message);
     return;
   }
+  OnReadSucceeded(step, before);
+}
+
+/// Returns false when the response is of no use: it is of an older era, or shows that the store was
+/// restored and continues what was read before.
+bool StoreReader::AcceptEra(const FollowStep& step, const HttpMessage& response) {
+  const auto era = adapter_.ParseStoreEra(response.headers);
+  if (!era || *era == follower_.era()) return true;
+  if (*era < follower_.era()) {
+    LogEvent(
+        LogLevel::kInfo, "store_response_late",
+        {{"topic", TopicName(topic_)}, {"era", era->value()}, {"known", follower_.era().value()}});
+    follower_.OnLateResponse();
+    return false;
+  }
+  OnEra(*era, Duration::zero());
+  if (era_callback_) era_callback_(*era);
+  const auto* newest = std::get_if<FollowNewest>(&step);
+  return response.status != kStatusOk || (newest != nullptr && newest->after.empty());
+}
+
+void StoreReader::OnReadSucceeded(const FollowStep& step, TopicPosition before) {
   const bool reachable_again = failing_ || !has_responded_;
   failing_ = false;
   records_missing_ = false;
   has_responded_ = true;
   if (reachable_again) {
     LogEvent(LogLevel::kInfo, "store_answers",
-             {{"topic", TopicName(topic_)}, {"offset", follower_.next_offset().value()}});
+             {{"topic", TopicName(topic_)},
+              {"era", follower_.era().value()},
+              {"offset", follower_.position().offset.value()}});
+  }
+  if (follower_.up_to_date()) {
+    const bool is_newest = std::holds_alternative<FollowNewest>(step);
+    update_callback_(is_newest ? follower_.position() : before);
   }
-  const bool is_newest = std::holds_alternative<FollowNewest>(step);
-  update_callback_(is_newest ? follower_.next_offset() : requested_from);
   if (reachable_again && reachability_callback_) reachability_callback_(true);
 }
 
 Result<void> StoreReader::ApplyResponse(const FollowStep& step, const HttpMessage& response) {
   if (std::holds_alternative<FollowNewest>(step)) {
-    const auto page = adapter_.ParseNewest(response.body);
+    auto page = adapter_.ParseNewest(response.body);
     if (!page) return page.error();
+    page.value().era = follower_.era();
     follower_.OnNewest(page.value());
     return boost::outcome_v2::success();
   }
-  const auto page = adapter_.ParseRecords(response.body, std::get<FollowRecords>(step).from);
+  auto page = adapter_.ParseRecords(response.body, std::get<FollowRecords>(step).from);
   if (!page) return page.error();
+  page.value().era = follower_.era();
   follower_.OnRecords(page.value());
   return boost::outcome_v2::success();
 }
@@ -181,7 +231,8 @@
   if (!failing_) {
     LogEvent(LogLevel::kWarning, "store_lost",
              {{"topic", TopicName(topic_)},
-              {"offset", follower_.next_offset().value()},
+              {"era", follower_.era().value()},
+              {"offset", follower_.position().offset.value()},
               {"error", reason}});
   }
   const bool became_unreachable = !std::exchange(failing_, true);
--- a/src/libgateway/store_reader.h
+++ b/src/libgateway/store_reader.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <random>
 #include <string>
@@ -17,8 +18,9 @@
 /// that runs the io_context.
 class StoreReader {
  public:
-  /// Called after each successful read. All records from offset `before` on have been delivered.
-  using UpdateCallback = std::function<void(Offset before)>;
+  /// Called after each read that succeeded, with the newest records once all pages of them are
+  /// read. All records from position `before` on have been delivered.
+  using UpdateCallback = std::function<void(TopicPosition before)>;
 
   StoreReader(asio::io_context& io, StoreClient& store, const PlatformAdapter& adapter, Topic topic,
               FollowOptions options, TopicFollower::Sink sink, UpdateCallback update_callback);
@@ -31,6 +33,10 @@
   void SetReachabilityCallback(ReachabilityCallback callback) {
     reachability_callback_ = std::move(callback);
   }
+  /// Called before the first response of a newer era is applied.
+  using EraCallback = std::function<void(StoreEra era)>;
+  /// Precondition: called before Start.
+  void SetEraCallback(EraCallback callback) { era_callback_ = std::move(callback); }
   void SetInterval(Duration interval) { follower_.SetInterval(interval); }
   void Start();
   /// Call when records are known to be missing here. Reads at once instead of after the pause, or
@@ -40,18 +46,27 @@
   /// retries continue.
   void SetSuspended(bool suspended);
 
+  /// The store is in this era. If it was restored, the running read is abandoned and the newest
+  /// records are read again, at a random moment within `spread`.
+  void OnEra(StoreEra era, Duration spread);
   /// Applies records that another host has read; if earlier ones are missing here, reads the store.
-  void OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records);
+  /// Precondition: OnEra was called with the update's era.
+  void OnRelayed(const TopicUpdate& update);
 
   bool complete() const { return follower_.complete(); }
-  Offset next_offset() const { return follower_.next_offset(); }
+  TopicPosition position() const { return follower_.position(); }
+  /// The newest known era of the store.
+  StoreEra era() const { return follower_.era(); }
   bool failing() const { return failing_; }
 
  private:
   void RunNextStep();
   void ReadNow();
   void OnResponse(const FollowStep& step, Result<HttpMessage> response);
+  bool AcceptEra(const FollowStep& step, const HttpMessage& response);
   Result<void> ApplyResponse(const FollowStep& step, const HttpMessage& response);
+  void OnReadSucceeded(const FollowStep& step, TopicPosition before);
+  void LogIgnoredUpdate(const TopicUpdate& update) const;
   void OnReadFailed(const std::string& reason);
 
   StoreClient& store_;
@@ -63,15 +78,16 @@
   asio::steady_timer timer_;
   std::minstd_rand random_{std::random_device{}()};
   bool call_pending_ = false;
+  /// Number of the last call; responses to earlier ones are ignored.
+  std::uint64_t last_call_ = 0;
   bool read_requested_ = false;
   bool suspended_ = false;
   /// Records are known to be missing here, and the last read failed.
   bool records_missing_ = false;
   bool failing_ = false;
   bool has_responded_ = false;
-  /// As the last response stated it.
-  StoreEra era_;
   ReachabilityCallback reachability_callback_;
+  EraCallback era_callback_;
 };
 
 /// Returns the name of a topic for log lines.
--- a/src/libgateway/store_update_relay.cc
+++ b/src/libgateway/store_update_relay.cc
@@ -20,11 +20,12 @@
 
 }  // namespace
 
-void StoreUpdateRelay::OnRead(Offset from, Offset to, std::vector<TopicRecord> changes) {
-  const bool contiguous = !reads_.empty() && reads_.back().to == from;
-  if (contiguous && from == to) return;
+void StoreUpdateRelay::OnRead(TopicPosition from, Offset to, std::vector<TopicRecord> changes) {
+  const bool contiguous = !reads_.empty() && era_ == from.era && reads_.back().to == from.offset;
+  if (contiguous && from.offset == to) return;
   if (!contiguous) reads_.clear();
-  StoreRead read{from, to, std::move(changes), 0};
+  era_ = from.era;
+  StoreRead read{from.offset, to, std::move(changes), 0};
   for (const TopicRecord& record : read.changes) read.bytes += EncodedBytes(record);
   reads_.push_back(std::move(read));
   if (reads_.size() > kMaxReads) reads_.pop_front();
@@ -33,11 +34,11 @@
 std::vector<TopicUpdate> StoreUpdateRelay::Updates(Duration grace_time_left) const {
   std::vector<TopicUpdate> updates;
   if (reads_.empty()) {
-    updates.push_back({{}, {}, grace_time_left, {}});
+    updates.push_back({{}, {}, grace_time_left, {}, era_});
     return updates;
   }
   if (reads_.back().bytes > kMaxDatagramBytes) {
-    AppendSplitRead(reads_.back(), grace_time_left, &updates);
+    AppendSplitRead(reads_.back(), grace_time_left, era_, &updates);
     return updates;
   }
   std::size_t bytes = 0;
@@ -46,7 +47,7 @@
     --oldest;
     bytes += oldest->bytes;
   }
-  TopicUpdate update{oldest->from, reads_.back().to, grace_time_left, {}};
+  TopicUpdate update{oldest->from, reads_.back().to, grace_time_left, {}, era_};
   for (; oldest != reads_.end(); ++oldest) {
     update.records.insert(update.records.end(), oldest->changes.begin(), oldest->changes.end());
   }
@@ -55,8 +56,8 @@
 }
 
 void StoreUpdateRelay::AppendSplitRead(const StoreRead& read, Duration grace_time_left,
-                                       std::vector<TopicUpdate>* updates) {
-  TopicUpdate update{read.from, read.to, grace_time_left, {}};
+                                       StoreEra era, std::vector<TopicUpdate>* updates) {
+  TopicUpdate update{read.from, read.to, grace_time_left, {}, era};
   std::size_t bytes = 0;
   for (const TopicRecord& record : read.changes) {
     const std::size_t size = EncodedBytes(record);
@@ -64,14 +65,14 @@
       // The next update starts after this record.
       update.to = record.offset;
       if (update.to > update.from) updates->push_back(std::move(update));
-      update = {Offset(record.offset.value() + 1), read.to, grace_time_left, {}};
+      update = {Offset(record.offset.value() + 1), read.to, grace_time_left, {}, era};
       bytes = 0;
       continue;
     }
     if (bytes + size > kMaxDatagramBytes) {
       update.to = record.offset;
       updates->push_back(std::move(update));
-      update = {record.offset, read.to, grace_time_left, {}};
+      update = {record.offset, read.to, grace_time_left, {}, era};
       bytes = 0;
     }
     bytes += size;
--- a/src/libgateway/store_update_relay.h
+++ b/src/libgateway/store_update_relay.h
@@ -4,7 +4,7 @@
 #include <deque>
 #include <vector>
 
-#include "libgateway/peer_channel.h"
+#include "libgateway/topic_update.h"
 
 namespace mulberry::gateway {
 
@@ -13,10 +13,10 @@
 /// Not thread safe.
 class StoreUpdateRelay {
  public:
-  /// Adds a read from one offset up to another; one without records changes nothing. If it does not
-  /// start where the last one ended (a gap in the topic), the earlier reads are dropped.
-  /// Precondition: the changes are in the order of their offsets.
-  void OnRead(Offset from, Offset to, std::vector<TopicRecord> changes);
+  /// Adds a read from a position up to an offset of the same era; one without records changes
+  /// nothing. If it does not start where the last one ended (a gap in the topic, or a restore), the
+  /// earlier reads are dropped. Precondition: the changes are in the order of their offsets.
+  void OnRead(TopicPosition from, Offset to, std::vector<TopicRecord> changes);
   /// Returns the changes of the last reads as one update. If the last read alone is too large for a
   /// datagram, it is split into several updates, one per datagram. A record that is too large for a
   /// datagram is left out, which leaves a gap between updates.
@@ -29,9 +29,10 @@
     std::vector<TopicRecord> changes;
     std::size_t bytes = 0;
   };
-  static void AppendSplitRead(const StoreRead& read, Duration grace_time_left,
+  static void AppendSplitRead(const StoreRead& read, Duration grace_time_left, StoreEra era,
                               std::vector<TopicUpdate>* updates);
 
+  StoreEra era_;  ///< Of all reads.
   std::deque<StoreRead> reads_;
 };
 
--- a/src/libgateway/store_view.h
+++ b/src/libgateway/store_view.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <optional>
 #include <random>
 #include <vector>
 
 #include "libgateway/catch_up_policy.h"
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
+#include "libgateway/server_history.h"
 #include "libgateway/server_removal_policy.h"
 #include "libgateway/store_reader.h"
 #include "libgateway/store_update_relay.h"
@@ -21,6 +23,8 @@
   /// Returns true when the entry changes the known state of the server.
   virtual bool OnServerEntry(const ServerEntry& entry) = 0;
   virtual void OnServerRemoved(const ServerName& id) = 0;
+  /// The store was restored: it is in a newer era, and what was written last may be missing.
+  virtual void OnStoreEra(StoreEra era) = 0;
   /// All records of a read, or of the update of another host, have been delivered.
   virtual void OnStoreUpdated() = 0;
   /// The store has stopped responding to reads, or responds again.
@@ -48,28 +52,36 @@
   /// Call a few times a second. `is_reader`: this host is chosen to read the store for others.
   /// `store_unreachable`: the store responds to no host.
   void Tick(bool is_reader, bool store_unreachable, TimePoint now);
-  /// Applies what another host has read.
+  /// The store is in this era, as another host or a response says.
+  void OnEra(StoreEra era, TimePoint now);
+  /// Applies what another host has read. Precondition: OnEra was called with the updates' eras.
   void OnPeerUpdate(const PeerMessage& message, TimePoint now);
-  /// Another host has applied the operators' topic up to this offset. Returns true when that host
-  /// should be asked for records that are missing here.
-  bool OnPeerOffset(Offset operator_offset, TimePoint now);
+  /// Another host has applied `theirs`, this one `own`. Returns true when that host should be asked
+  /// for what is missing here.
+  bool OnPeerState(const OperatorState& own, const OperatorState& theirs, TimePoint now);
   /// Returns the operators' records for a host that has applied them up to `from`, as far as they
   /// are kept; empty if it lacks none.
-  std::vector<TopicUpdate> OperatorUpdatesFor(Offset from) const;
+  std::vector<TopicUpdate> OperatorUpdatesFor(TopicPosition from) const;
+  /// The record of the newest configuration; empty without one.
+  const std::optional<TopicRecord>& newest_config() const { return newest_config_; }
+  /// Applies the newest configuration of another host.
+  void OnPeerConfig(const TopicRecord& record);
   void SetLeavingBound(Duration bound);
 
   /// True once both topics have been read since the start.
   bool complete() const { return operators_.complete() && servers_.complete(); }
   /// The store responds to this host.
   bool reachable() const { return servers_.complete() && !servers_.failing(); }
-  Offset operator_offset() const { return operators_.next_offset(); }
+  TopicPosition operator_position() const { return operators_.position(); }
 
  private:
-  void OnOperatorRecord(const TopicRecord& record);
-  void OnServerRecord(const TopicRecord& record);
-  void OnOperatorTopicRead(Offset before);
-  void KeepOperatorChanges(Offset before);
-  void OnServerTopicRead(Offset before);
+  void OnOperatorRecord(const TopicRecord& record, RecordSource source);
+  void ApplyDataCentre(const DataCentreOutUpdate& update, RecordSource source);
+  void OnServerRecord(const TopicRecord& record, RecordSource source);
+  void RemoveServer(const ServerName& id);
+  void OnOperatorTopicRead(TopicPosition before);
+  void KeepOperatorChanges(TopicPosition before);
+  void OnServerTopicRead(TopicPosition before);
   bool ReceivesUpdates(TimePoint now) const { return now - last_peer_update_ < silence_timeout_; }
   void ChooseSilenceTimeout();
 
@@ -77,6 +89,8 @@
   StoreViewOptions options_;
   StoreEvents& events_;
   ServerRemovalPolicy removal_policy_;
+  RemovalPolicy<DataCentreName> data_centre_policy_;
+  ServerHistory history_;
   StoreReader operators_;
   StoreReader servers_;
   /// Records of the current read that change the state.
@@ -85,6 +99,12 @@
   StoreUpdateRelay operator_relay_;
   CatchUpPolicy catch_up_;
   StoreUpdateRelay server_relay_;
+  std::optional<TopicRecord> newest_config_;
+  ConfigVersion newest_version_;
+  StoreEra era_;
+  /// Until then, all entries read are relayed, not only those that are news here: after a restore
+  /// each host has put together what it knew and what it read.
+  TimePoint relay_all_until_;
   /// When another host last sent records that it had read.
   TimePoint last_peer_update_;
   /// Time without updates after which this host reads the store itself.
--- a/src/libgateway/topic_follower.h
+++ b/src/libgateway/topic_follower.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libgateway/platform_adapter.h"
+#include "libgateway/topic_update.h"
 
 namespace mulberry::gateway {
 
@@ -42,14 +43,20 @@
 };
 using FollowStep = std::variant<FollowPause, FollowNewest, FollowRecords>;
 
+/// Where a record comes from that a TopicFollower delivers.
+enum class RecordSource {
+  kLog,      ///< The topic at this point.
+  kNewest,   ///< The newest records; after a restore it may be older than what is known.
+  kMissing,  ///< No record: a key that was known and is not among the newest records.
+};
+
 /// Decides how a keyed topic is read: first the newest record of each key, then the records after
-/// them; the newest records again when records have expired. The sink receives records in topic
-/// order. A key that was known and is not among the newest records counts as removed. Does no I/O.
-/// Not thread safe.
+/// them; the newest records again when records have expired or the store was restored. The sink
+/// receives records in topic order. Does no I/O. Not thread safe.
 class TopicFollower {
  public:
-  /// Receives one record. A key that is missing after a gap is reported without a value.
-  using Sink = std::function<void(const TopicRecord&)>;
+  /// Receives one record; a key that is missing after a gap, without a value.
+  using Sink = std::function<void(const TopicRecord&, RecordSource)>;
 
   TopicFollower(FollowOptions options, Sink sink);
 
@@ -58,11 +65,17 @@
   /// Ends the current pause.
   void OnPauseOver() { pause_ = Duration::zero(); }
 
+  /// The store is in this era. Returns true when it is a newer one: the position is void, and the
+  /// newest records are to be read again.
+  bool OnEra(StoreEra era);
+  /// Apply a response. One of an older era is ignored, and the read is repeated after a pause.
   void OnNewest(const NewestPage& page);
   void OnRecords(const RecordPage& page);
-  /// Applies records that another host has read, from `from` up to `to`; returns false when earlier
-  /// records are missing here.
-  bool OnRelayed(Offset from, Offset to, const std::vector<TopicRecord>& records);
+  /// The response is of an older era; the read is repeated after a pause.
+  void OnLateResponse() { pause_ = options_.retry_pause; }
+  /// Applies records that another host has read; returns false when earlier records are missing
+  /// here. Records of a newer era are applied although the newest ones of it are still to be read.
+  bool OnRelayed(const TopicUpdate& update);
   /// The store has deleted the requested records.
   void OnExpired();
   /// `random` is between 0 and 1. `suspended`: other hosts read the topic.
@@ -71,10 +84,18 @@
 
   /// True once all newest records have been read since the start.
   bool complete() const { return complete_; }
-  Offset next_offset() const { return next_offset_; }
+  /// False while the newest records are read, at the start and after a gap or a restore.
+  bool up_to_date() const { return newest_complete_; }
+  /// Pages of the newest records have been read, and more are to come.
+  bool reading_pages() const { return !newest_complete_ && !first_page_; }
+  /// All records before this position have been delivered.
+  TopicPosition position() const { return position_; }
+  /// The newest known era of the store; the position may still be of an older one.
+  StoreEra era() const { return era_; }
 
  private:
-  void Deliver(const std::vector<TopicRecord>& records);
+  void RestartNewest();
+  void Deliver(const TopicRecord& record);
 
   FollowOptions options_;
   Sink sink_;
@@ -82,7 +103,10 @@
   bool newest_complete_ = false;
   bool first_page_ = true;
   std::string last_page_key_;
-  Offset next_offset_;
+  /// End of the topic when the first page of the newest records was read.
+  Offset newest_end_;
+  StoreEra era_;
+  TopicPosition position_;
   Duration pause_{};
   std::uint32_t consecutive_failures_ = 0;  ///< Failed reads in a row.
   std::vector<std::string> known_keys_;
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -18,6 +18,14 @@
 /// Identifies one attempt to send a call to a backend server.
 using AttemptId = StrongNumber<struct AttemptIdTag>;
 
+/// Position in a topic of the store. An offset is given out again when the store is restored, so it
+/// means something only in its era.
+struct TopicPosition {
+  StoreEra era;
+  Offset offset;
+  auto operator<=>(const TopicPosition&) const = default;
+};
+
 /// One service of a route and its weight in the traffic split.
 struct RouteShare {
   ServiceName service;
@@ -83,6 +91,8 @@
   /// Wall-clock start time in milliseconds since the epoch; a different value means that the server
   /// restarted.
   std::int64_t started_at_ms = 0;
+  /// Rises with each entry that the server writes after its start.
+  std::uint64_t sequence = 0;
 };
 
 /// Load of a server at the time of a response.
--- a/tests/gateway/server_removal_policy_test.cc
+++ b/tests/gateway/server_removal_policy_test.cc
@@ -75,5 +75,14 @@
   CHECK(one.OnEntryMissing(missing_server, now));
 }
 
+TEST_CASE_FIXTURE(Fixture, "an entry that a restored store lacks may return, without an outage") {
+  policy.OnStoreRestored();
+  CHECK_FALSE(policy.OnEntryMissing(missing_server, now));
+  now += milliseconds(100);
+  policy.OnStoreReachable(now);
+  CHECK(policy.TakeRemovable(now + milliseconds(2000)).empty());
+  CHECK(policy.TakeRemovable(now + milliseconds(2400)) == std::vector{missing_server});
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
--- a/tests/gateway/topic_follower_test.cc
+++ b/tests/gateway/topic_follower_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <vector>
 
 namespace mulberry::gateway {
 namespace {
@@ -17,15 +18,18 @@
 /// Applies the records that the follower delivers to a map.
 struct Fixture {
   Fixture()
-      : follower({.interval = std::chrono::milliseconds(700)}, [this](const TopicRecord& record) {
-          if (record.value) {
-            state[record.key] = *record.value;
-          } else {
-            state.erase(record.key);
-          }
-        }) {}
+      : follower({.interval = std::chrono::milliseconds(700)},
+                 [this](const TopicRecord& record, RecordSource source) {
+                   sources.push_back(source);
+                   if (record.value) {
+                     state[record.key] = *record.value;
+                   } else {
+                     state.erase(record.key);
+                   }
+                 }) {}
 
   std::map<std::string, std::string> state;
+  std::vector<RecordSource> sources;
   TopicFollower follower;
 };
 
@@ -60,21 +64,21 @@
 
 TEST_CASE_FIXTURE(Fixture, "relayed records are applied when no earlier ones are missing") {
   follower.OnNewest({{}, false, Offset(5)});
-  CHECK(follower.OnRelayed(Offset(5), Offset(8), {Put("a", "1", 6)}));
-  CHECK(follower.next_offset() == Offset(8));
-  CHECK(follower.OnRelayed(Offset(6), Offset(8), {Put("a", "old", 7)}));
+  CHECK(follower.OnRelayed({Offset(5), Offset(8), {}, {Put("a", "1", 6)}}));
+  CHECK(follower.position().offset == Offset(8));
+  CHECK(follower.OnRelayed({Offset(6), Offset(8), {}, {Put("a", "old", 7)}}));
   CHECK(state["a"] == "1");
-  CHECK_FALSE(follower.OnRelayed(Offset(9), Offset(12), {Put("a", "3", 10)}));
-  CHECK(follower.next_offset() == Offset(8));
+  CHECK_FALSE(follower.OnRelayed({Offset(9), Offset(12), {}, {Put("a", "3", 10)}}));
+  CHECK(follower.position().offset == Offset(8));
 }
 
 TEST_CASE_FIXTURE(Fixture, "records already relayed by another host are not applied again") {
   follower.OnNewest({{}, false, Offset(5)});
-  CHECK(follower.OnRelayed(Offset(5), Offset(8), {Put("a", "1", 5), Put("a", "2", 7)}));
+  CHECK(follower.OnRelayed({Offset(5), Offset(8), {}, {Put("a", "1", 5), Put("a", "2", 7)}}));
   // The response to a read that was sent earlier.
   follower.OnRecords({{Put("a", "1", 5)}, Offset(6)});
   CHECK(state["a"] == "2");
-  CHECK(follower.next_offset() == Offset(8));
+  CHECK(follower.position().offset == Offset(8));
 }
 
 TEST_CASE_FIXTURE(Fixture, "a failed read is retried after a randomised pause") {
@@ -107,5 +111,84 @@
   CHECK(std::get<FollowPause>(follower.Next()).wait == options.retry_pause);
 }
 
+TEST_CASE_FIXTURE(Fixture,
+                  "a newer era voids the position, and the newest records are read again") {
+  follower.OnNewest({{Put("a", "1"), Put("b", "1")}, false, Offset(50), StoreEra(1)});
+  CHECK(follower.position() == TopicPosition{StoreEra(1), Offset(50)});
+  follower.OnPauseOver();
+  sources.clear();
+  // The offsets of the new era have grown past the position.
+  follower.OnRecords({{Put("a", "of the new era", 50)}, Offset(51), StoreEra(2)});
+  CHECK(sources.empty());
+  CHECK(std::holds_alternative<FollowNewest>(follower.Next()));
+  // Others go on learning the position that this host has reached.
+  CHECK(follower.position() == TopicPosition{StoreEra(1), Offset(50)});
+  CHECK(follower.complete());
+  CHECK_FALSE(follower.up_to_date());
+  follower.OnNewest({{Put("a", "0")}, false, Offset(40), StoreEra(2)});
+  CHECK(sources == std::vector{RecordSource::kNewest, RecordSource::kMissing});
+  CHECK(follower.position() == TopicPosition{StoreEra(2), Offset(40)});
+  follower.OnPauseOver();
+  CHECK(std::get<FollowRecords>(follower.Next()).from == Offset(40));
+}
+
+TEST_CASE_FIXTURE(Fixture, "an era that another host knows has the newest records read") {
+  follower.OnNewest({{}, false, Offset(5), StoreEra(3)});
+  CHECK_FALSE(follower.OnEra(StoreEra(3)));
+  CHECK_FALSE(follower.OnEra(StoreEra(2)));
+  CHECK(std::holds_alternative<FollowPause>(follower.Next()));
+  CHECK(follower.OnEra(StoreEra(4)));
+  CHECK(std::holds_alternative<FollowNewest>(follower.Next()));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a response of an older era is ignored, and read again after a pause") {
+  follower.OnNewest({{}, false, Offset(5), StoreEra(1)});
+  follower.OnEra(StoreEra(2));
+  follower.OnNewest({{Put("a", "1")}, false, Offset(9), StoreEra(1)});
+  CHECK(state.empty());
+  CHECK(std::holds_alternative<FollowPause>(follower.Next()));
+  follower.OnPauseOver();
+  CHECK(std::holds_alternative<FollowNewest>(follower.Next()));
+  follower.OnNewest({{}, false, Offset(4), StoreEra(2)});
+  follower.OnPauseOver();
+  follower.OnRecords({{Put("a", "1", 5)}, Offset(6), StoreEra(1)});
+  CHECK(state.empty());
+  CHECK(follower.position() == TopicPosition{StoreEra(2), Offset(4)});
+}
+
+TEST_CASE_FIXTURE(Fixture, "pages of two eras do not go together") {
+  follower.OnNewest({{Put("a", "1")}, true, Offset(5), StoreEra(1)});
+  CHECK(std::get<FollowNewest>(follower.Next()).after == "a");
+  follower.OnNewest({{Put("b", "1")}, false, Offset(5), StoreEra(2)});
+  CHECK_FALSE(follower.complete());
+  CHECK(std::get<FollowNewest>(follower.Next()).after.empty());
+  follower.OnNewest({{Put("c", "1")}, false, Offset(3), StoreEra(2)});
+  CHECK(follower.complete());
+  CHECK(follower.position() == TopicPosition{StoreEra(2), Offset(3)});
+}
+
+TEST_CASE_FIXTURE(Fixture, "relayed records of an older era are ignored") {
+  follower.OnNewest({{}, false, Offset(5), StoreEra(2)});
+  CHECK(follower.OnRelayed({Offset(50), Offset(60), {}, {Put("a", "1", 55)}, StoreEra(1)}));
+  CHECK(state.empty());
+  CHECK(follower.position() == TopicPosition{StoreEra(2), Offset(5)});
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "relayed records of a newer era are applied without moving the position") {
+  follower.OnNewest({{}, false, Offset(50), StoreEra(1)});
+  CHECK(follower.OnRelayed({Offset(30), Offset(32), {}, {Put("a", "1", 31)}, StoreEra(2)}));
+  CHECK(state["a"] == "1");
+  CHECK(follower.position() == TopicPosition{StoreEra(1), Offset(50)});
+  CHECK(std::holds_alternative<FollowNewest>(follower.Next()));
+  // Read before the record was written.
+  sources.clear();
+  follower.OnNewest({{}, false, Offset(31), StoreEra(2)});
+  CHECK(sources == std::vector{RecordSource::kMissing});
+  CHECK(follower.OnRelayed({Offset(30), Offset(32), {}, {Put("a", "1", 31)}, StoreEra(2)}));
+  CHECK(state["a"] == "1");
+  CHECK(follower.position() == TopicPosition{StoreEra(2), Offset(32)});
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -112,7 +112,8 @@
   int records = 0;
   gateway::StoreReader reader(
       io, client, *adapter, gateway::Topic::kOperator, {.wait = seconds(2)},
-      [&](const gateway::TopicRecord&) { ++records; }, [](Offset) {});
+      [&](const gateway::TopicRecord&, gateway::RecordSource) { ++records; },
+      [](gateway::TopicPosition) {});
   reader.Start();
   REQUIRE(RunUntil(io, [&] { return reader.complete(); }));
   reader.SetSuspended(true);
