Gateway: a later start of another host does not extend the grace time of a start

While hosts were restarted one after another, a request reached a server later than the bound after its entry had gone (DRAIN).

Cause: a host that has just started can't know whether the store was away before, and waits 2.3 s before it takes a missing entry for gone. It told the others so, and those whose own first grace time still ran took its longer one, each from the next. The first grace time is only a precaution: a host whose reads have worked since its start now keeps to its own, as one that was in touch throughout already did.

--- a/src/libgateway/server_removal_policy.cc
+++ b/src/libgateway/server_removal_policy.cc
@@ -19,8 +19,9 @@
 template <class Id>
 void RemovalPolicy<Id>::OnPeerGraceTime(Duration time_left, TimePoint now) {
   // The store was reachable for this host (or for the readers that it hears from) throughout, so
-  // only the other host was disconnected, and entries that went missing meanwhile are gone.
-  if (MissingMeansGone(now)) return;
+  // only the other host was disconnected or started, and entries that went missing meanwhile are
+  // gone.
+  if (MissingMeansGone(now) || (!store_unreachable_ && !outage_seen_)) return;
   store_unreachable_ = false;
   grace_until_ = std::max(grace_until_, now + std::min(time_left, grace_time_));
 }
--- a/src/libgateway/server_removal_policy.h
+++ b/src/libgateway/server_removal_policy.h
@@ -20,8 +20,8 @@
   /// Report whether the store is reachable.
   void OnStoreReachable(TimePoint now);
   /// The store was restored; the grace time begins with the next read.
-  void OnStoreRestored() { store_unreachable_ = true; }
-  void OnStoreUnreachable() { store_unreachable_ = true; }
+  void OnStoreRestored() { OnStoreUnreachable(); }
+  void OnStoreUnreachable() { store_unreachable_ = outage_seen_ = true; }
 
   /// Remaining time in which a missing entry may return; zero when a missing entry means that its
   /// server is gone.
@@ -40,6 +40,9 @@
 
   Duration grace_time_;
   bool store_unreachable_ = true;
+  /// False since the start: the first grace time is a precaution against an outage that this host
+  /// did not see.
+  bool outage_seen_ = false;
   TimePoint grace_until_;
   std::set<Id> missing_;
 };
--- a/tests/gateway/server_removal_policy_test.cc
+++ b/tests/gateway/server_removal_policy_test.cc
@@ -64,6 +64,11 @@
   TimePoint now = TimePoint(seconds(100));
   ServerRemovalPolicy one(kGraceTime);
   ServerRemovalPolicy other(kGraceTime);
+  SUBCASE("after their start") {}
+  SUBCASE("after an outage") {
+    one.OnStoreUnreachable();
+    other.OnStoreUnreachable();
+  }
   one.OnStoreReachable(now);
   other.OnStoreReachable(now);
   for (int i = 0; i < 40; ++i) {
@@ -84,5 +89,17 @@
   CHECK(policy.TakeRemovable(now + milliseconds(2400)) == std::vector{missing_server});
 }
 
+// While hosts were restarted one after another, each extended the grace time of those that had
+// started before. Found by a day with roll_term on hornolimpio-gw, seed 2, DRAIN.
+TEST_CASE("a host that started later does not extend the grace time of a start") {
+  TimePoint now = TimePoint(seconds(100));
+  ServerRemovalPolicy policy(kGraceTime);
+  policy.OnStoreReachable(now);
+  CHECK_FALSE(policy.OnEntryMissing(missing_server, now + milliseconds(1200)));
+  policy.OnPeerGraceTime(kGraceTime, now + milliseconds(2000));
+  CHECK(policy.TakeRemovable(now + milliseconds(2200)).empty());
+  CHECK(policy.TakeRemovable(now + milliseconds(2400)) == std::vector{missing_server});
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
