--- a/tests/gateway/store_update_relay_test.cc
+++ b/tests/gateway/store_update_relay_test.cc
@@ -37,8 +37,9 @@
 
 TEST_CASE("an update holds only the last reads, and none from before a gap") {
   StoreUpdateRelay relay;
-  for (std::uint64_t i = 0; i < 10; ++i)
+  for (std::uint64_t i = 0; i < 10; ++i) {
     relay.OnRead({StoreEra(1), Offset(i)}, Offset(i + 1), {Put("a", i)});
+  }
   CHECK(SingleUpdate(relay.Updates({})).from == Offset(6));
   relay.OnRead({StoreEra(1), Offset(50)}, Offset(52), {Put("b", 50)});
   CHECK(SingleUpdate(relay.Updates({})).from == Offset(50));
