Soak: the store comes back from older copies

Callers got answers of an older configuration after the metadata store had come back from a copy. The soak did not find it: its store goes away and comes back with all it held.

While faults are injected, the store now comes back from a copy 1 to 9 s old, again and again; before, it is away for up to 2 s. Between the copy and the return the operator writes up to three configurations. Within 2 s after the return the operator writes the newest of what was lost again, and each backend server its entry or its removal, in any order. The sequence of the other faults of a seed stays as it was. The checks are as before.

--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -157,17 +157,26 @@
   backend.registered = true;
   backend.left.reset();
   if (state == "draining") backend.left = MonotonicClock::now();
-  store_.Put("keyed.servers", backend.server->id(),
-             fmt::format(R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":8,)"
-                         R"("State":"{}","WarmupLeftMs":0,"Seq":1,"born":{}}})",
-                         backend.server->service(), backend.link->address(), backend.data_centre,
-                         state, backend.born));
+  PutEntry(backend,
+           fmt::format(R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":8,)"
+                       R"("State":"{}","WarmupLeftMs":0,"Seq":1,"born":{}}})",
+                       backend.server->service(), backend.link->address(), backend.data_centre,
+                       state, backend.born));
 }
 
 void Fleet::Unregister(Backend& backend) {
   backend.registered = false;
   backend.left = MonotonicClock::now();
-  store_.Put("keyed.servers", backend.server->id(), std::nullopt);
+  PutEntry(backend, std::nullopt);
+}
+
+void Fleet::PutEntry(Backend& backend, std::optional<std::string> entry) {
+  backend.entry = std::move(entry);
+  WriteAgain(backend);
+}
+
+void Fleet::WriteAgain(const Backend& backend) {
+  store_.Put("keyed.servers", backend.server->id(), backend.entry);
 }
 
 void Fleet::Configure(const std::string& write_service) {
@@ -182,13 +191,27 @@
   }
   text += R"(,{"ResourceType":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":8000,)"
           R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]})";
-  store_.Put("keyed.op", "config", text);
+  PutOperator("config", text);
 }
 
 void Fleet::SetOut(const std::string& data_centre, bool out) {
   std::optional<std::string> value;
   if (out) value = "{}";
-  store_.Put("keyed.op", "evacuate/" + data_centre, value);
+  PutOperator("evacuate/" + data_centre, value);
+}
+
+void Fleet::PutOperator(const std::string& key, const std::optional<std::string>& value) {
+  operator_writes_[key] = value;
+  store_.Put("keyed.op", key, value);
+}
+
+void Fleet::SaveCopy() {
+  operator_writes_.clear();
+  store_.SaveCopy();
+}
+
+void Fleet::WriteOperatorAgain() {
+  for (const auto& [key, value] : operator_writes_) store_.Put("keyed.op", key, value);
 }
 
 }  // namespace mulberry::soak
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +56,7 @@
   bool registered = false;
   std::optional<TimePoint> left;
   std::int64_t born = 0;
+  std::optional<std::string> entry;  ///< In the store; none when removed.
 };
 
 /// The system under test with its stand-ins: hosts of two data centres, backend servers of two
@@ -84,6 +86,13 @@
   void Configure(const std::string& write_service);
   void SetOut(const std::string& data_centre, bool out);
 
+  /// Keeps a copy of the store's topics for FakeStore::Restore.
+  void SaveCopy();
+  /// The operator writes the newest of what it has written since the copy again.
+  void WriteOperatorAgain();
+  /// The server writes its entry, or its removal, again.
+  void WriteAgain(const Backend& backend);
+
   std::vector<std::unique_ptr<Host>>& hosts() { return hosts_; }
   std::vector<std::unique_ptr<Backend>>& backends() { return backends_; }
   platform::FakeStore& store() { return store_; }
@@ -92,6 +101,8 @@
 
  private:
   void WriteSettings(const Host& host) const;
+  void PutEntry(Backend& backend, std::optional<std::string> entry);
+  void PutOperator(const std::string& key, const std::optional<std::string>& value);
 
   asio::io_context& io_;
   Options options_;
@@ -100,6 +111,8 @@
   std::vector<std::unique_ptr<Host>> hosts_;
   std::vector<std::unique_ptr<Backend>> backends_;
   std::vector<PlannedStop> stops_;
+  /// What the operator has written since the copy, by key.
+  std::map<std::string, std::optional<std::string>> operator_writes_;
   std::string write_service_;
   std::uint16_t store_port_ = 0;
   std::uint16_t peer_port_ = 0;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -11,6 +11,7 @@
 #include "soak/busy_stops.h"
 #include "soak/checks.h"
 #include "soak/faults.h"
+#include "soak/store_restores.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the faults");
 ABSL_FLAG(int, fault_seconds, 12, "How long faults are injected");
@@ -31,7 +32,10 @@
 class Soak {
  public:
   Soak(const Fleet::Options& options, std::uint64_t seed, seconds fault_time)
-      : fleet_(io_, options), callers_(io_, fleet_, seed), faults_(io_, fleet_, seed * 7919) {
+      : fleet_(io_, options),
+        callers_(io_, fleet_, seed),
+        faults_(io_, fleet_, seed * 7919),
+        restores_(io_, fleet_, seed * 104729) {
     Prepare();
     RunFaults(fault_time);
     CheckCalm();
@@ -77,7 +81,9 @@
 
   void RunFaults(seconds time) {
     faults_.Start();
+    restores_.Start();
     RunFor(time);
+    restores_.Heal();
     faults_.Heal();
     RunFor(kSettle);
   }
@@ -130,6 +136,7 @@
   Fleet fleet_;
   Callers callers_;
   Faults faults_;
+  StoreRestores restores_;
   std::vector<std::string> broken_;
 };
 
