Soak: the planned stops end after the io_context has run last

Read from the code, not from a core: the object that plays the stops was destroyed before the io_context's next run, in which a timer's handler that had been queued with success still used it. It is now a member of the run, as the other faults are.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -35,7 +35,8 @@
       : fleet_(io_, options),
         callers_(io_, fleet_, seed),
         faults_(io_, fleet_, seed * 7919),
-        restores_(io_, fleet_, seed * 104729) {
+        restores_(io_, fleet_, seed * 104729),
+        busy_stops_(io_, fleet_, callers_, seed) {
     Prepare();
     RunFaults(fault_time);
     CheckCalm();
@@ -43,7 +44,7 @@
     CheckConfiguration();
     const TimePoint stops_since = MonotonicClock::now();
     CheckStop();
-    RunBusyStops(seed);
+    RunBusyStops();
     callers_.Stop();
     RunFor(seconds(4));
     for (std::string& cut : CheckStopped(callers_, fleet_, stops_since)) {
@@ -126,10 +127,9 @@
     Expect(part >= kLeastServed, "served around a planned stop: " + std::to_string(part));
   }
 
-  void RunBusyStops(std::uint64_t seed) {
-    BusyStops stops(io_, fleet_, callers_, seed);
-    stops.Start();
-    while (!stops.finished()) RunFor(milliseconds(100));
+  void RunBusyStops() {
+    busy_stops_.Start();
+    while (!busy_stops_.finished()) RunFor(milliseconds(100));
   }
 
   asio::io_context io_;
@@ -137,6 +137,7 @@
   Callers callers_;
   Faults faults_;
   StoreRestores restores_;
+  BusyStops busy_stops_;
   std::vector<std::string> broken_;
 };
 
