--- a/tests/soak/checks.cc
+++ b/tests/soak/checks.cc
@@ -61,8 +61,10 @@
   std::vector<std::string> broken;
   const std::map<std::string, int> runs = Runs(fleet);
   for (const auto& [id, sent] : callers.sent()) {
-    if (sent.at < since || sent.status != 0 || runs.count(id) == 0) continue;
-    broken.push_back("ran, and ended without an answer: " + id + " sent to " + Where(fleet, sent));
+    if (sent.at < since || sent.status == kStatusOk || runs.count(id) == 0) continue;
+    const std::string end = sent.status == 0 ? "ended without an answer"
+                                             : "was answered " + std::to_string(sent.status);
+    broken.push_back("ran, and " + end + ": " + id + " sent to " + Where(fleet, sent));
   }
   return broken;
 }
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -12,8 +12,8 @@
 /// although its refusal said that it had not, answers of another request, requests nobody sent.
 std::vector<std::string> CheckRequests(const Callers& callers, Fleet& fleet);
 
-/// Returns, in words, the requests sent from `since` that a backend server has run and that ended
-/// without a complete answer. Precondition: since then, planned stops are the only faults.
+/// Returns, in words, the requests sent from `since` that a backend server has run and whose
+/// callers did not get its answer. Precondition: since then, planned stops are the only faults.
 std::vector<std::string> CheckStopped(const Callers& callers, Fleet& fleet, TimePoint since);
 
 /// Returns the part of the requests sent from `since` to `until` that were served.
