--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -103,12 +103,23 @@
 void Fleet::StartHost(Host& host) {
   WriteSettings(host);
   host.first_start = false;
+  host.paused = false;
+  host.stopping = false;
+  host.stop_bound.reset();
   host.expected = host.process.Start({options_.program, "--gateway=" + host.settings_file},
                                      options_.folder + "/" + host.name + ".log");
 }
 
 void Fleet::Signal(Host& host, int signal) {
   if (signal == SIGKILL || signal == SIGTERM) host.expected = false;
+  if (signal == SIGSTOP || signal == SIGCONT) host.paused = signal == SIGSTOP;
+  if (signal == SIGSTOP) host.stop_bound.reset();
+  if (signal == SIGTERM && host.process.Running()) {
+    const TimePoint now = MonotonicClock::now();
+    if (!host.stopping && !host.paused) host.stop_bound = now + kGrace;
+    host.stopping = true;
+    stops_.push_back({host.address(), now});
+  }
   if (signal == SIGHUP) {
     WriteSettings(host);
     AwaitCatch(host.process.pid(), signal);
@@ -129,22 +140,43 @@
   return unexpected;
 }
 
+std::vector<std::string> Fleet::KillOverdue() {
+  std::vector<std::string> overdue;
+  const TimePoint now = MonotonicClock::now();
+  for (const auto& host : hosts_) {
+    if (!host->stop_bound || now < *host->stop_bound || !host->process.Running()) continue;
+    overdue.push_back(host->name + " still ran at the end of its grace time");
+    Signal(*host, SIGKILL);
+    host->stop_bound.reset();
+  }
+  return overdue;
+}
+
 void Fleet::Register(Backend& backend, const std::string& state) {
   if (!backend.registered) backend.born = ++version_;
   backend.registered = true;
   backend.left.reset();
   if (state == "draining") backend.left = MonotonicClock::now();
-  store_.Put("keyed.servers", backend.server->id(),
-             fmt::format(R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":8,)"
-                         R"("State":"{}","WarmupLeftMs":0,"Seq":1,"born":{}}})",
-                         backend.server->service(), backend.link->address(), backend.data_centre,
-                         state, backend.born));
+  PutEntry(backend,
+           fmt::format(R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":8,)"
+                       R"("State":"{}","WarmupLeftMs":0,"Seq":1,"born":{}}})",
+                       backend.server->service(), backend.link->address(), backend.data_centre,
+                       state, backend.born));
 }
 
 void Fleet::Unregister(Backend& backend) {
   backend.registered = false;
   backend.left = MonotonicClock::now();
-  store_.Put("keyed.servers", backend.server->id(), std::nullopt);
+  PutEntry(backend, std::nullopt);
+}
+
+void Fleet::PutEntry(Backend& backend, std::optional<std::string> entry) {
+  backend.entry = std::move(entry);
+  WriteAgain(backend);
+}
+
+void Fleet::WriteAgain(const Backend& backend) {
+  store_.Put("keyed.servers", backend.server->id(), backend.entry);
 }
 
 void Fleet::Configure(const std::string& write_service) {
@@ -159,13 +191,27 @@
   }
   text += R"(,{"ResourceType":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":8000,)"
           R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]})";
-  store_.Put("keyed.op", "config", text);
+  PutOperator("config", text);
 }
 
 void Fleet::SetOut(const std::string& data_centre, bool out) {
   std::optional<std::string> value;
   if (out) value = "{}";
-  store_.Put("keyed.op", "evacuate/" + data_centre, value);
+  PutOperator("evacuate/" + data_centre, value);
+}
+
+void Fleet::PutOperator(const std::string& key, const std::optional<std::string>& value) {
+  operator_writes_[key] = value;
+  store_.Put("keyed.op", key, value);
+}
+
+void Fleet::SaveCopy() {
+  operator_writes_.clear();
+  store_.SaveCopy();
+}
+
+void Fleet::WriteOperatorAgain() {
+  for (const auto& [key, value] : operator_writes_) store_.Put("keyed.op", key, value);
 }
 
 }  // namespace mulberry::soak
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,6 +34,18 @@
   /// The process is meant to run: its end is a failure unless a fault ended it.
   bool expected = false;
   bool first_start = true;
+  bool paused = false;
+  bool stopping = false;
+  /// When the platform kills the process of a planned stop; none for one that was also paused.
+  std::optional<TimePoint> stop_bound;
+
+  std::string address() const { return ip + ":" + std::to_string(callers); }
+};
+
+/// The begin of a host's planned stop.
+struct PlannedStop {
+  std::string address;
+  TimePoint began;
 };
 
 /// One backend server in this process, reached through a relay.
@@ -43,6 +56,7 @@
   bool registered = false;
   std::optional<TimePoint> left;
   std::int64_t born = 0;
+  std::optional<std::string> entry;  ///< In the store; none when removed.
 };
 
 /// The system under test with its stand-ins: hosts of two data centres, backend servers of two
@@ -63,6 +77,8 @@
   void Signal(Host& host, int signal);
   /// Starts the hosts that have ended; returns the names of those whose end nobody caused.
   std::vector<std::string> RestartEnded();
+  /// Kills the hosts whose grace time is over, as the platform does; returns their names.
+  std::vector<std::string> KillOverdue();
 
   void Register(Backend& backend, const std::string& state = "ready");
   void Unregister(Backend& backend);
@@ -70,13 +86,23 @@
   void Configure(const std::string& write_service);
   void SetOut(const std::string& data_centre, bool out);
 
+  /// Keeps a copy of the store's topics for FakeStore::Restore.
+  void SaveCopy();
+  /// The operator writes the newest of what it has written since the copy again.
+  void WriteOperatorAgain();
+  /// The server writes its entry, or its removal, again.
+  void WriteAgain(const Backend& backend);
+
   std::vector<std::unique_ptr<Host>>& hosts() { return hosts_; }
   std::vector<std::unique_ptr<Backend>>& backends() { return backends_; }
   platform::FakeStore& store() { return store_; }
+  const std::vector<PlannedStop>& stops() const { return stops_; }
   const std::string& write_service() const { return write_service_; }
 
  private:
   void WriteSettings(const Host& host) const;
+  void PutEntry(Backend& backend, std::optional<std::string> entry);
+  void PutOperator(const std::string& key, const std::optional<std::string>& value);
 
   asio::io_context& io_;
   Options options_;
@@ -84,6 +110,9 @@
   platform::FakeStore store_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::vector<std::unique_ptr<Backend>> backends_;
+  std::vector<PlannedStop> stops_;
+  /// What the operator has written since the copy, by key.
+  std::map<std::string, std::optional<std::string>> operator_writes_;
   std::string write_service_;
   std::uint16_t store_port_ = 0;
   std::uint16_t peer_port_ = 0;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -8,8 +8,10 @@
 #include <cstdio>
 #include <filesystem>
 
+#include "soak/busy_stops.h"
 #include "soak/checks.h"
 #include "soak/faults.h"
+#include "soak/store_restores.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the faults");
 ABSL_FLAG(int, fault_seconds, 12, "How long faults are injected");
@@ -30,15 +32,24 @@
 class Soak {
  public:
   Soak(const Fleet::Options& options, std::uint64_t seed, seconds fault_time)
-      : fleet_(io_, options), callers_(io_, fleet_, seed), faults_(io_, fleet_, seed * 7919) {
+      : fleet_(io_, options),
+        callers_(io_, fleet_, seed),
+        faults_(io_, fleet_, seed * 7919),
+        restores_(io_, fleet_, seed * 104729),
+        busy_stops_(io_, fleet_, callers_, seed) {
     Prepare();
     RunFaults(fault_time);
     CheckCalm();
     CheckDrain();
     CheckConfiguration();
+    const TimePoint stops_since = MonotonicClock::now();
     CheckStop();
+    RunBusyStops();
     callers_.Stop();
     RunFor(seconds(4));
+    for (std::string& cut : CheckStopped(callers_, fleet_, stops_since)) {
+      broken_.push_back(std::move(cut));
+    }
     for (std::string& fault : CheckRequests(callers_, fleet_)) broken_.push_back(std::move(fault));
   }
 
@@ -51,6 +62,7 @@
     while (MonotonicClock::now() < end) {
       io_.run_for(milliseconds(100));
       io_.restart();
+      for (std::string& overdue : fleet_.KillOverdue()) broken_.push_back(std::move(overdue));
       for (std::string& ended : fleet_.RestartEnded()) broken_.push_back(std::move(ended));
     }
   }
@@ -70,7 +82,9 @@
 
   void RunFaults(seconds time) {
     faults_.Start();
+    restores_.Start();
     RunFor(time);
+    restores_.Heal();
     faults_.Heal();
     RunFor(kSettle);
   }
@@ -113,10 +127,17 @@
     Expect(part >= kLeastServed, "served around a planned stop: " + std::to_string(part));
   }
 
+  void RunBusyStops() {
+    busy_stops_.Start();
+    while (!busy_stops_.finished()) RunFor(milliseconds(100));
+  }
+
   asio::io_context io_;
   Fleet fleet_;
   Callers callers_;
   Faults faults_;
+  StoreRestores restores_;
+  BusyStops busy_stops_;
   std::vector<std::string> broken_;
 };
 
