Planned stop: answer every request of a connection before it closes

Outcome "may have run" for a request that ran well within its deadline.

Cause: while a host leaves, each answer to a call closed its connection. HttpServer drops the answers behind one that closes (answers go out in request order), and the requests behind it had been dispatched. Answers to address requests and refusals, on the other hand, did not close it.

Change: the HTTP server decides. After CloseAfterAnswers() a connection closes after the answer to the newest request that it has brought, if no older one is open and no further bytes have arrived; a request that is read after such an answer was passed on is not handled.

The new case of test_transport answers two requests in and out of order.

Ruled out: that the requests were cut by the end of the process (it ended later), or by a deadline (200 ms of 2 s).

Not covered: a call sent behind an address request in the same packet is not read when the address answer closes the connection. It does not run.

--- a/src/libentry/entry_host.h
+++ b/src/libentry/entry_host.h
@@ -68,7 +68,6 @@
   nlohmann::json Status(Instant now) const;
 
   const ConfigState& config() const { return follower_.state_machine().state(); }
-  bool leaving() const { return leaving_; }
 
  private:
   void Refresh(Instant now, EntryActions& actions);
--- a/src/libtransport/http_server.cc
+++ b/src/libtransport/http_server.cc
@@ -204,14 +204,16 @@
 /// Sends the answer to one request. A closed connection is not an error.
 class Responder {
  public:
-  Responder(restinio::request_handle_t request, std::shared_ptr<ServerConnections> connections)
-      : request_(std::move(request)), connections_(std::move(connections)) {}
+  /// `number`: of the request on its connection.
+  Responder(restinio::request_handle_t request, std::uint64_t number,
+            std::shared_ptr<ServerConnections> connections)
+      : request_(std::move(request)), number_(number), connections_(std::move(connections)) {}
 
   void Send(ServerAnswer answer) {
     const auto request = std::exchange(request_, nullptr);
     if (!request || !connections_->is_open()) return;
     const std::uint64_t id = request->connection_id();
-    connections_->OnAnswered(id);
+    answer.close = connections_->OnAnswered(id, number_, answer.close);
     try {
       Write(*request, std::move(answer));
     } catch (const std::exception&) {
@@ -244,6 +246,7 @@
   }
 
   restinio::request_handle_t request_;
+  std::uint64_t number_;
   std::shared_ptr<ServerConnections> connections_;
 };
 
@@ -268,6 +271,7 @@
   }
 
   void StopAccepting() { acceptor_.Stop(); }
+  void CloseAfterAnswers() { connections_->CloseAfterAnswers(); }
 
   void Close() {
     acceptor_.Stop();
@@ -342,12 +346,13 @@
       const std::shared_ptr<ServerConnections>& connections, const Handler& handler,
       restinio::request_handle_t request) {
     if (!connections->is_open()) return restinio::request_rejected();
-    connections->OnRequest(request->connection_id());
+    const auto number = connections->OnRequest(request->connection_id());
+    if (!number) return restinio::request_rejected();
     std::size_t head_bytes = 0;
     ServerRequest server_request = ToServerRequest(*request, &head_bytes);
     const bool upgrade =
         request->header().connection() == restinio::http_connection_header_t::upgrade;
-    auto responder = std::make_shared<Responder>(std::move(request), connections);
+    auto responder = std::make_shared<Responder>(std::move(request), *number, connections);
     if (!HasValidHeaderNames(server_request)) {
       ++connections->counters().malformed;
       responder->Send(
@@ -389,6 +394,8 @@
 
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
 
+void HttpServer::CloseAfterAnswers() { impl_->CloseAfterAnswers(); }
+
 void HttpServer::Close() { impl_->Close(); }
 
 std::uint16_t HttpServer::port() const { return impl_->port(); }
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -95,6 +95,10 @@
   /// served.
   void StopAccepting();
 
+  /// From now on, each connection is closed after the answer to the last request that it has
+  /// brought.
+  void CloseAfterAnswers();
+
   /// Closes the port and all connections immediately, including those with unfinished writes.
   void Close();
 
--- a/src/libtransport/server_connections.cc
+++ b/src/libtransport/server_connections.cc
@@ -36,18 +36,32 @@
   return found == connections_.end() ? nullptr : found->second.get();
 }
 
-void ServerConnections::OnRequest(std::uint64_t id) {
+bool ServerConnections::HasUnreadBytes(const ServerConnection& connection) {
+  if (connection.reading) return true;
+  if (connection.socket == nullptr) return false;
+  asio::error_code error;
+  const std::size_t available = connection.socket->available(error);
+  return !error && available > 0;
+}
+
+std::optional<std::uint64_t> ServerConnections::OnRequest(std::uint64_t id) {
   ServerConnection* connection = Find(id);
-  if (connection == nullptr) return;
+  if (connection == nullptr || connection->closing) return std::nullopt;
   connection->reading = false;
   ++connection->unanswered_requests;
+  return ++connection->requests;
 }
 
-void ServerConnections::OnAnswered(std::uint64_t id) {
+bool ServerConnections::OnAnswered(std::uint64_t id, std::uint64_t request, bool close) {
   ServerConnection* connection = Find(id);
-  if (connection == nullptr) return;
+  if (connection == nullptr) return close;
   --connection->unanswered_requests;
   ++connection->unwritten_answers;
+  // Answers are written in request order: an answer that closes drops those to newer requests.
+  const bool is_last = request == connection->requests && connection->unanswered_requests == 0;
+  const bool may_close = close_after_answers_ && is_last && !HasUnreadBytes(*connection);
+  connection->closing = connection->closing || close || may_close;
+  return close || may_close;
 }
 
 void ServerConnections::OnWritten(std::uint64_t id) {
--- a/src/libtransport/server_connections.h
+++ b/src/libtransport/server_connections.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -26,6 +27,8 @@
   TimePoint reading_since;
   std::uint32_t unanswered_requests = 0;  ///< Requests in the handler.
   std::uint32_t unwritten_answers = 0;    ///< Answers passed on but not yet written.
+  std::uint64_t requests = 0;             ///< Number of the newest request.
+  bool closing = false;                   ///< It will be closed after an answer.
 };
 
 /// The open connections of one HttpServer: counts them, limits the time for reading a request, and
@@ -38,12 +41,20 @@
   /// Registers a connection. Must be called before its first read.
   void Add(std::shared_ptr<ServerConnection> connection);
 
-  /// Called when a whole request has arrived, when its answer has been passed to the connection,
-  /// and when the answer has been written or dropped.
-  void OnRequest(std::uint64_t id);
-  void OnAnswered(std::uint64_t id);
+  /// Called when a whole request has arrived. Returns the request's number on its connection, or
+  /// nothing if it must not be handled, since the connection closes before its answer.
+  std::optional<std::uint64_t> OnRequest(std::uint64_t id);
+
+  /// Called when a request is answered. Returns true if its connection must close after the answer:
+  /// if `close` is set, or after CloseAfterAnswers if it is the last answer.
+  bool OnAnswered(std::uint64_t id, std::uint64_t request, bool close);
+
+  /// Called when an answer has been written or dropped.
   void OnWritten(std::uint64_t id);
 
+  /// From now on, each connection closes after the answer to the last request that it has brought.
+  void CloseAfterAnswers() { close_after_answers_ = true; }
+
   /// Called when RESTinio has closed a connection; repeated calls have no effect.
   void OnClosed(std::uint64_t id);
 
@@ -69,6 +80,7 @@
 
  private:
   ServerConnection* Find(std::uint64_t id);
+  static bool HasUnreadBytes(const ServerConnection& connection);
   void Answer(ServerConnection& connection, std::string_view answer);
 
   asio::io_context& io_;
@@ -77,6 +89,7 @@
   HttpServerCounters counters_;
   std::unordered_map<std::uint64_t, std::shared_ptr<ServerConnection>> connections_;
   CloseCause close_cause_ = CloseCause::kOther;
+  bool close_after_answers_ = false;
   bool open_ = true;
 };
 
--- a/src/mulberryd/caller_api.cc
+++ b/src/mulberryd/caller_api.cc
@@ -72,10 +72,9 @@
   return call;
 }
 
-ServerAnswer MakeCallAnswer(CallerAnswer answer, const HostName& host, bool close_connection) {
+ServerAnswer MakeCallAnswer(CallerAnswer answer, const HostName& host) {
   ServerAnswer http;
   http.status = answer.status;
-  http.close = close_connection;
   const char* outcome = OutcomeHeaderValue(answer.outcome);
   http.headers = {{"Mulberry-Outcome", outcome}, {"Mulberry-Entry-Host", host.str()}};
   if (answer.no_retry) {
@@ -93,7 +92,7 @@
 }
 
 ServerAnswer MakeRefusalAnswer(int status, const std::string& reason, const HostName& host) {
-  return MakeCallAnswer(UnansweredAnswer(RunOutcome::kNotRun, status, reason), host, false);
+  return MakeCallAnswer(UnansweredAnswer(RunOutcome::kNotRun, status, reason), host);
 }
 
 ServerAnswer MakeAddressesAnswer(const Result<AddressAnswer>& answer, const HostName& host) {
--- a/src/mulberryd/caller_api.h
+++ b/src/mulberryd/caller_api.h
@@ -17,9 +17,8 @@
 /// Precondition: IsCallPath(request.path).
 Result<CallerRequest> ParseCallRequest(ServerRequest request, RequestId id);
 
-/// Converts the answer to a caller request to HTTP. With `close_connection`, the connection is
-/// closed after the answer.
-ServerAnswer MakeCallAnswer(CallerAnswer answer, const HostName& host, bool close_connection);
+/// Converts the answer to a caller request to HTTP.
+ServerAnswer MakeCallAnswer(CallerAnswer answer, const HostName& host);
 
 /// Converts the result of an address lookup to HTTP.
 ServerAnswer MakeAddressesAnswer(const Result<AddressAnswer>& answer, const HostName& host);
--- a/src/mulberryd/entry_node.cc
+++ b/src/mulberryd/entry_node.cc
@@ -127,6 +127,7 @@
   }
   stopping_ = true;
   LogEvent(LogLevel::kInfo, "leaving", {{"host", settings_.host.str()}});
+  http_server_->CloseAfterAnswers();
   HandleEvent([this](Instant now, EntryActions& actions) { host_.BeginLeaving(now, actions); });
 }
 
@@ -283,7 +284,7 @@
       requests_by_connection_.erase(connection);
     }
   }
-  call.mapped().respond(MakeCallAnswer(std::move(action.answer), settings_.host, host_.leaving()));
+  call.mapped().respond(MakeCallAnswer(std::move(action.answer), settings_.host));
 }
 
 void EntryNode::ExecuteAction(ReadLog& action) {
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -248,6 +248,30 @@
   CHECK(open.WaitForClose());
 }
 
+TEST_CASE("a connection that closes after its answers is closed after the last one only") {
+  EchoServer echo;
+  RawCaller in_order(echo.io, echo.server.port());
+  RawCaller out_of_order(echo.io, echo.server.port());
+  for (RawCaller* caller : {&in_order, &out_of_order}) {
+    const std::size_t before = echo.held.size();
+    caller->Write("GET /held HTTP/1.1\r\n\r\nGET /held HTTP/1.1\r\n\r\n");
+    REQUIRE(RunUntil(echo.io, [&] { return echo.held.size() == before + 2; }));
+  }
+  echo.server.CloseAfterAnswers();
+  for (const std::size_t request : {0, 1, 3, 2}) {
+    echo.held[request](TextAnswer("answer " + std::to_string(request)));
+    RunFor(echo.io, milliseconds(20));
+  }
+  CHECK(in_order.WaitForClose());
+  CHECK(in_order.received().find("answer 0") < in_order.received().find("answer 1"));
+  CHECK(in_order.WaitForText("answer 1"));
+  CHECK(out_of_order.WaitForText("answer 3"));
+  CHECK(out_of_order.received().find("answer 2") < out_of_order.received().find("answer 3"));
+  out_of_order.Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(out_of_order.WaitForClose());
+  CHECK(out_of_order.received().rfind("HTTP/1.1 200") > out_of_order.received().find("answer 3"));
+}
+
 TEST_CASE("a port in use is an error with the address") {
   EchoServer echo;
   HttpServerOptions options;
