Planned stop: close port and idle connections at a fixed time, end when all are closed

A request that one of them brings in this time is passed on, may run, and is cut. Any event in the 50 ms made them 0 ms, since the delay and the next tick shared a timer. - An answer that its caller reads slowly is cut off, and a request of which a part has arrived gets no answer.

Cause: the end depended on one thing only, a moment without pending requests after the addresses' time to live. Nothing closed port and connections before that moment, and a connection that reads or writes did not count as work.

Change: EntryHost::NextLeavingStep, which reads no clock, decides. Until address_ttl_ms and 250 ms after the signal everything is served. Then, busy or not, the port and the connections without a request close; what has arrived, also in part, is read, answered and written. The process ends when no connection is open. It needs no time limit of its own: reading, handling and writing have theirs. The exit delay has a timer of its own.

By reading: queued and forwarded requests and open claims count as pending and have deadlines.

--- a/src/libentry/entry_host.cc
+++ b/src/libentry/entry_host.cc
@@ -412,13 +412,23 @@
   SendHeartbeats(now, actions);
 }
 
+bool EntryHost::AddressesExpired(TimePoint now) const {
+  return leaving_ && now - leaving_since_ >= options_.address_ttl + kLastRequestGrace;
+}
+
 bool EntryHost::Drained(TimePoint now) const {
-  const bool addresses_expired =
-      leaving_ && now - leaving_since_ >= options_.address_ttl + kLastRequestGrace;
-  return addresses_expired && router_.Idle() && groups_.Idle() &&
+  return AddressesExpired(now) && router_.Idle() && groups_.Idle() &&
          leases_.DrainingGroups(now).empty();
 }
 
+LeavingStep EntryHost::NextLeavingStep(std::size_t open_connections, TimePoint now) const {
+  if (!AddressesExpired(now)) {
+    return LeavingStep::kServe;
+  }
+  const bool nothing_left = open_connections == 0 && Drained(now);
+  return nothing_left ? LeavingStep::kExit : LeavingStep::kCloseIdle;
+}
+
 /// Returns the owners of a service's groups, nearest first, followed by the live hosts of the own
 /// data centre. `tie_break_seed` orders data centres of equal rank.
 std::vector<HostName> EntryHost::EntryHostsFor(const ServiceName& service,
--- a/src/libentry/entry_host.h
+++ b/src/libentry/entry_host.h
@@ -60,10 +60,15 @@
   /// are handed over.
   void BeginLeaving(Instant now, EntryActions& actions);
 
-  /// True when the shutdown may complete: addresses cached by callers have expired and no work is
-  /// left.
+  /// True when addresses cached by callers have expired and no work is left.
   bool Drained(TimePoint now) const;
 
+  /// Returns what is next in the shutdown; `open_connections` is the number of callers'
+  /// connections. kExit comes at the latest when each connection has ended: the step kCloseIdle
+  /// ends those without a request, and reading, handling and answering a request are limited in
+  /// time. Precondition: BeginLeaving was called.
+  LeavingStep NextLeavingStep(std::size_t open_connections, TimePoint now) const;
+
   /// Returns the state for operators in the format of docs/protocols.md.
   nlohmann::json Status(Instant now) const;
 
@@ -81,6 +86,7 @@
   void ReportLeaseChanges();
   void SendTo(const HostName& host, PeerMessage message, EntryActions& actions) const;
   void ApplyFollowerActions(FollowerActions follower_actions, Instant now, EntryActions& actions);
+  bool AddressesExpired(TimePoint now) const;
   std::optional<Ticket> MakeTicket(Instant now);
   std::vector<HostName> EntryHostsFor(const ServiceName& service,
                                       const DataCentreName& caller_data_centre,
--- a/src/libentry/types.h
+++ b/src/libentry/types.h
@@ -123,6 +123,13 @@
                                  ReadLog, AppendRecord>;
 using EntryActions = std::vector<EntryAction>;
 
+/// What an entry host that leaves does next.
+enum class LeavingStep {
+  kServe,      ///< Serves callers that still use its address.
+  kCloseIdle,  ///< Closes its port and idle connections, and answers what has arrived.
+  kExit        ///< No connection is open and nothing is left to answer.
+};
+
 /// Receives the events that metrics count. Implementations must return quickly and must not call
 /// back into the entry host.
 class EntryObserver {
--- a/src/libtransport/http_server.cc
+++ b/src/libtransport/http_server.cc
@@ -273,6 +273,11 @@
   void StopAccepting() { acceptor_.Stop(); }
   void CloseAfterAnswers() { connections_->CloseAfterAnswers(); }
 
+  void CloseIdle(Duration idle_time) {
+    acceptor_.Stop();
+    connections_->CloseIdle(MonotonicClock::now() - idle_time);
+  }
+
   void Close() {
     acceptor_.Stop();
     connections_->CloseAll();
@@ -396,6 +401,8 @@
 
 void HttpServer::CloseAfterAnswers() { impl_->CloseAfterAnswers(); }
 
+void HttpServer::CloseIdle(Duration idle_time) { impl_->CloseIdle(idle_time); }
+
 void HttpServer::Close() { impl_->Close(); }
 
 std::uint16_t HttpServer::port() const { return impl_->port(); }
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -99,6 +99,10 @@
   /// brought.
   void CloseAfterAnswers();
 
+  /// Stops accepting connections, and closes those that have been without a request, also one in
+  /// part, for `idle_time` since they were accepted or since their last answer.
+  void CloseIdle(Duration idle_time);
+
   /// Closes the port and all connections immediately, including those with unfinished writes.
   void Close();
 
--- a/src/libtransport/server_connections.cc
+++ b/src/libtransport/server_connections.cc
@@ -28,6 +28,7 @@
 void ServerConnections::Add(std::shared_ptr<ServerConnection> connection) {
   ++counters_.connections;
   const std::uint64_t id = connection->id;
+  connection->active_at = MonotonicClock::now();
   connections_[id] = std::move(connection);
 }
 
@@ -66,7 +67,9 @@
 
 void ServerConnections::OnWritten(std::uint64_t id) {
   ServerConnection* connection = Find(id);
-  if (connection != nullptr && connection->unwritten_answers > 0) --connection->unwritten_answers;
+  if (connection == nullptr || connection->unwritten_answers == 0) return;
+  --connection->unwritten_answers;
+  connection->active_at = MonotonicClock::now();
 }
 
 void ServerConnections::OnClosed(std::uint64_t id) {
@@ -115,13 +118,27 @@
     const bool late = now - connection->reading_since > options_.read_timeout;
     if (connection->reading && late && connection->socket != nullptr) slow.push_back(connection);
   }
-  for (const auto& connection : slow) {
-    close_cause_ = CloseCause::kTimeout;
-    asio::error_code ignored;
-    connection->socket->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-    connection->socket->close(ignored);
-    OnClosed(connection->id);
+  for (const auto& connection : slow) Close(*connection, CloseCause::kTimeout);
+}
+
+void ServerConnections::CloseIdle(TimePoint active_before) {
+  std::vector<std::shared_ptr<ServerConnection>> idle;
+  for (const auto& [id, connection] : connections_) {
+    const bool busy = connection->unanswered_requests > 0 || connection->unwritten_answers > 0 ||
+                      HasUnreadBytes(*connection);
+    if (!busy && connection->active_at < active_before && connection->socket != nullptr) {
+      idle.push_back(connection);
+    }
   }
+  for (const auto& connection : idle) Close(*connection, CloseCause::kOther);
+}
+
+void ServerConnections::Close(ServerConnection& connection, CloseCause cause) {
+  close_cause_ = cause;
+  asio::error_code ignored;
+  connection.socket->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  connection.socket->close(ignored);
+  OnClosed(connection.id);
 }
 
 void ServerConnections::CloseAll() {
--- a/src/libtransport/server_connections.h
+++ b/src/libtransport/server_connections.h
@@ -28,6 +28,7 @@
   std::uint32_t unanswered_requests = 0;  ///< Requests in the handler.
   std::uint32_t unwritten_answers = 0;    ///< Answers passed on but not yet written.
   std::uint64_t requests = 0;             ///< Number of the newest request.
+  TimePoint active_at;                    ///< When it was accepted or last wrote an answer.
   bool closing = false;                   ///< It will be closed after an answer.
 };
 
@@ -68,6 +69,9 @@
   /// Closes connections whose request did not arrive in full within the read timeout.
   void CloseTimedOutReads(TimePoint now);
 
+  /// Closes connections that have been without a request, also one in part, since `active_before`.
+  void CloseIdle(TimePoint active_before);
+
   /// Closes all connections. No callback is called afterwards.
   void CloseAll();
 
@@ -82,6 +86,7 @@
   ServerConnection* Find(std::uint64_t id);
   static bool HasUnreadBytes(const ServerConnection& connection);
   void Answer(ServerConnection& connection, std::string_view answer);
+  void Close(ServerConnection& connection, CloseCause cause);
 
   asio::io_context& io_;
   HttpServerOptions options_;
--- a/src/mulberryd/entry_node.cc
+++ b/src/mulberryd/entry_node.cc
@@ -11,8 +11,12 @@
 namespace {
 
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
-/// Delay between the end of draining and the process exit, so that the last answers are sent.
+/// Delay between the end of draining and the process exit, so that the last messages to other
+/// hosts are sent.
 constexpr Duration kFlushDelay = std::chrono::milliseconds(50);
+/// A connection that was accepted just before the port closed may take this long to bring its
+/// request.
+constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(250);
 
 EntryOptions MakeEntryOptions(const Settings& settings, StartId start) {
   EntryOptions options;
@@ -63,6 +67,7 @@
                      });
                    }),
       tick_timer_(io),
+      exit_timer_(io),
       host_list_timer_(io),
       part_check_timer_(io) {}
 
@@ -105,14 +110,31 @@
 void EntryNode::OnTickTimer() {
   tick_due_ = TimePoint::max();
   HandleEvent([this](Instant now, EntryActions& actions) { host_.Tick(now, actions); });
-  if (stopping_ && host_.Drained(MonotonicClock::now())) {
-    LogEvent(LogLevel::kInfo, "drained", {{"host", settings_.host.str()}});
-    supervisor_->Stop();
-    tick_timer_.expires_after(kFlushDelay);
-    tick_timer_.async_wait([this](const std::error_code&) { io_.stop(); });
+  if (stopping_ && !exiting_) {
+    ContinueStop();
   }
 }
 
+void EntryNode::ContinueStop() {
+  const std::uint64_t connections = http_server_->counters().connections;
+  const LeavingStep step = host_.NextLeavingStep(connections, MonotonicClock::now());
+  if (step == LeavingStep::kServe) {
+    return;
+  }
+  http_server_->CloseIdle(kIdleBeforeClose);
+  if (step == LeavingStep::kExit) {
+    Exit();
+  }
+}
+
+void EntryNode::Exit() {
+  exiting_ = true;
+  LogEvent(LogLevel::kInfo, "drained", {{"host", settings_.host.str()}});
+  supervisor_->Stop();
+  exit_timer_.expires_after(kFlushDelay);
+  exit_timer_.async_wait([this](const std::error_code&) { io_.stop(); });
+}
+
 void EntryNode::Start() {
   supervisor_ = MakeSupervisor();
   (void)supervisor_->Start(MonotonicClock::now());
--- a/src/mulberryd/entry_node.h
+++ b/src/mulberryd/entry_node.h
@@ -31,8 +31,9 @@
   /// Starts the supervised parts of the process.
   void Start();
 
-  /// Starts a graceful shutdown, which stops the io_context when all requests have drained. A
-  /// second call stops the io_context immediately.
+  /// Starts a graceful shutdown: serves callers until the addresses they hold have expired, then
+  /// closes the port and idle connections, and stops the io_context when each request that has
+  /// arrived is answered and its answer written. A second call stops the io_context immediately.
   void Stop();
 
  private:
@@ -49,6 +50,8 @@
   void Execute(EntryActions& actions);
   void ArmTickTimer(TimePoint due);
   void OnTickTimer();
+  void ContinueStop();
+  void Exit();
   void OnHttpRequest(ServerRequest request, HttpServer::Respond respond);
   void OnCall(ServerRequest request, HttpServer::Respond respond);
   void OnConnectionClosed(std::uint64_t connection);
@@ -81,6 +84,7 @@
   std::unique_ptr<HttpServer> http_server_;
   std::unique_ptr<Supervisor> supervisor_;
   asio::steady_timer tick_timer_;
+  asio::steady_timer exit_timer_;
   asio::steady_timer host_list_timer_;
   asio::steady_timer part_check_timer_;
   TimePoint tick_due_ = TimePoint::max();
@@ -90,6 +94,7 @@
   std::unordered_map<DispatchId, HttpClient::Handle> server_requests_;
   std::uint64_t part_check_count_ = 0;
   bool stopping_ = false;
+  bool exiting_ = false;
 };
 
 }  // namespace mulberry
--- a/tests/entry/entry_host_test.cc
+++ b/tests/entry/entry_host_test.cc
@@ -296,4 +296,57 @@
   CHECK(fixture.host().Drained(fixture.now().mono));
 }
 
+TEST_CASE("a leaving host closes when kept addresses have expired, also while it is busy") {
+  SingleHostFixture fixture;
+  const Duration serving = SingleHostFixture::Options().address_ttl + milliseconds(250);
+  fixture.SendRequest(1);
+  const auto sent = fixture.TakeActions<SendToServer>();
+  REQUIRE(sent.size() == 1);
+  fixture.CollectActions(
+      [&](EntryActions& actions) { fixture.host().BeginLeaving(fixture.now(), actions); });
+  const auto step = [&](std::size_t open_connections) {
+    return fixture.host().NextLeavingStep(open_connections, fixture.now().mono);
+  };
+  fixture.RunFor(serving - milliseconds(10));
+  CHECK(step(0) == LeavingStep::kServe);
+  fixture.RunFor(milliseconds(10));
+  CHECK(step(1) == LeavingStep::kCloseIdle);
+  CHECK(step(0) == LeavingStep::kCloseIdle);
+  fixture.SendReply(sent[0].dispatch);
+  fixture.RunFor(milliseconds(100));
+  CHECK(step(1) == LeavingStep::kCloseIdle);
+  CHECK(step(0) == LeavingStep::kExit);
+}
+
+/// The sender may not have heard that the host leaves, and goes on sending.
+TEST_CASE("a leaving host returns forwarded requests at once and does not wait for them") {
+  SingleHostFixture fixture;
+  fixture.CollectActions(
+      [&](EntryActions& actions) { fixture.host().BeginLeaving(fixture.now(), actions); });
+  std::size_t returned = 0;
+  for (std::uint64_t i = 0; i < 300; ++i) {
+    fixture.RunFor(milliseconds(10));
+    ForwardRequest forward;
+    forward.id = RequestId(i + 1);
+    forward.class_name = ClassName("lookup");
+    forward.data_centre = DataCentreName("a");
+    forward.method = "GET";
+    forward.path = "/slots";
+    forward.time_left = seconds(2);
+    forward.deadline = fixture.now().wall + seconds(2);
+    const PeerEnvelope envelope{{HostName("b1"), StartId(2)}, forward};
+    fixture.CollectActions(
+        [&](EntryActions& actions) { fixture.host().OnPeer(envelope, fixture.now(), actions); });
+    for (const SendPeer& send : fixture.TakeActions<SendPeer>()) {
+      const auto* answer = std::get_if<ForwardAnswer>(&send.message);
+      if (answer != nullptr && answer->outcome == RunOutcome::kNotRun && answer->not_owner) {
+        ++returned;
+      }
+    }
+  }
+  CHECK(returned == 300);
+  CHECK(fixture.TakeActions<SendToServer>().empty());
+  CHECK(fixture.host().NextLeavingStep(0, fixture.now().mono) == LeavingStep::kExit);
+}
+
 }  // namespace mulberry
--- a/tests/mulberryd/entry_hosts.cc
+++ b/tests/mulberryd/entry_hosts.cc
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kHosts = 2;
-const std::string kPrograms = MULBERRY_BINARY_DIR;
+std::string Program(const std::string& name) { return std::string(MULBERRY_BINARY_DIR "/") + name; }
 
 std::string LocalAddress(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -54,13 +54,13 @@
             options.port = port;
             return options;
           }(),
-          [this](const ServerRequest& request, HttpServer::Respond respond) {
-            Handle(request, std::move(respond));
+          [this](const ServerRequest& request, const HttpServer::Respond& respond) {
+            Handle(request, respond);
           }) {
   REQUIRE(server_.Open());
 }
 
-void CountingServer::Handle(const ServerRequest& request, HttpServer::Respond respond) {
+void CountingServer::Handle(const ServerRequest& request, const HttpServer::Respond& respond) {
   ServerAnswer answer;
   answer.headers = {{"X-Start-Id", "1"}};
   if (request.path == "/load") {
@@ -127,9 +127,8 @@
 
 void EntryHosts::StartPlatform() {
   platform_port_ = ports_.Next();
-  REQUIRE(
-      platform_.Start({kPrograms + "/standin_platform", "--port", std::to_string(platform_port_)},
-                      folder_ + "/platform.log"));
+  REQUIRE(platform_.Start({Program("standin_platform"), "--port", std::to_string(platform_port_)},
+                          folder_ + "/platform.log"));
   const std::string url = "http://" + LocalAddress(platform_port_) + "/hosts";
   REQUIRE(RunUntil(io_, [&] { return Exchange(io_, client_, Get(url)).status == 200; }));
 }
@@ -147,7 +146,7 @@
                       << "\n[limits]\nhead_timeout_ms = " << kHeadTimeout.count()
                       << "\ndefault_deadline_ms = 2000\nmax_deadline_ms = 3000"
                       << "\n[policy]\ncold_slots = 64\n";
-  REQUIRE(host.process.Start({kPrograms + "/mulberryd", "--config", file},
+  REQUIRE(host.process.Start({Program("mulberryd"), "--config", file},
                              folder_ + "/" + host.name + ".log"));
 }
 
@@ -178,7 +177,13 @@
 }
 
 void SteadyCallers::Send() {
-  hosts_.client().Start(Get(url_), false, [this](const HttpAnswer& answer) {
+  const TimePoint sent = MonotonicClock::now();
+  hosts_.client().Start(Get(url_), false, [this, sent](const HttpAnswer& answer) {
+    const std::string reason = HeaderOf(answer, "mulberry-reason");
+    if (!reason.empty()) {
+      reasons_ += reason + " after " +
+                  std::to_string(ToMilliseconds(MonotonicClock::now() - sent)) + " ms; ";
+    }
     if (answer.end == HttpEnd::kConnectRefused) {
       ++refused_;
       return;
--- a/tests/mulberryd/entry_hosts.h
+++ b/tests/mulberryd/entry_hosts.h
@@ -29,7 +29,7 @@
   std::size_t ended() const { return ended_; }
 
  private:
-  void Handle(const ServerRequest& request, HttpServer::Respond respond);
+  void Handle(const ServerRequest& request, const HttpServer::Respond& respond);
 
   asio::io_context& io_;
   std::size_t started_ = 0;
@@ -96,6 +96,8 @@
   std::size_t answered() const { return answered_; }
   /// Requests of which a part may have been sent and that got no answer.
   std::size_t cut() const { return cut_; }
+  /// Reasons of answers that are not a server's, with the time since the request was sent.
+  const std::string& reasons() const { return reasons_; }
   /// Callers whose connection was refused.
   std::size_t refused() const { return refused_; }
 
@@ -107,6 +109,7 @@
   std::size_t answered_ = 0;
   std::size_t cut_ = 0;
   std::size_t refused_ = 0;
+  std::string reasons_;
 };
 
 }  // namespace mulberry
