--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -95,6 +95,14 @@
   /// served.
   void StopAccepting();
 
+  /// From now on, each connection is closed after the answer to the last request that it has
+  /// brought.
+  void CloseAfterAnswers();
+
+  /// Stops accepting connections, and closes those that have been without a request, also one in
+  /// part, for `idle_time` since they were accepted or since their last answer.
+  void CloseIdle(Duration idle_time);
+
   /// Closes the port and all connections immediately, including those with unfinished writes.
   void Close();
 
