--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -80,9 +80,18 @@
   CHECK(entry.value().slots == 4);
   CHECK(entry.value().cold_time_left == std::chrono::milliseconds(1500));
   CHECK(entry.value().started_at_ms == 1700000000123);
+  CHECK(entry.value().sequence == 4);
   CHECK_FALSE(entry.value().leaving);
 }
 
+TEST_CASE("the store's era is a header of its responses") {
+  const auto adapter = MakeAdapter();
+  CHECK(adapter->ParseStoreEra({{"Date", "today"}, {"store-era", "12"}}) == StoreEra(12));
+  CHECK_FALSE(adapter->ParseStoreEra({{"Date", "today"}}).has_value());
+  CHECK_FALSE(adapter->ParseStoreEra({{"Store-Era", "12x"}}).has_value());
+  CHECK_FALSE(adapter->ParseStoreEra({{"Store-Era", "-1"}}).has_value());
+}
+
 TEST_CASE("a malformed server entry is rejected") {
   const auto adapter = MakeAdapter();
   const auto parses_with = [&](const std::string& from, const std::string& to) {
