Tests: each test program takes its ports from a block of its own

A node of test_platform could not open its port once in fourteen runs at the same time: FreePort asked the system for a port and closed it, and until it was used another program could get it, as a listening port or as the local port of an outgoing connection. It now takes ports from PortBlock, as the scenario runner and the soak do: blocks below the system's range, reserved by a lock.

--- a/tests/gateway/caller_server_test.cc
+++ b/tests/gateway/caller_server_test.cc
@@ -44,7 +44,7 @@
     limits.head_timeout = milliseconds(50);
     limits.idle_timeout = milliseconds(100);
     server.SetLimits(limits);
-    port = FreePort(io);
+    port = FreePort();
     REQUIRE(server.Open("127.0.0.1", port));
     caller.Connect(port);
   }
--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -56,7 +56,7 @@
     AddServer("b", second.address());
     forwarder.SetServer(&server);
     forwarder.SetSlackShare(1);
-    port = FreePort(io);
+    port = FreePort();
     REQUIRE(server.Open("127.0.0.1", port));
     caller.Connect(port);
   }
@@ -583,7 +583,7 @@
   CallerServer server(io, forwarder, &memory);
   forwarder.SetServer(&server);
   TestCaller caller(io);
-  const std::uint16_t port = FreePort(io);
+  const std::uint16_t port = FreePort();
   REQUIRE(server.Open("127.0.0.1", port));
   caller.Connect(port);
   caller.Write("GET /read/1 HTTP/1.1\r\nHost: h.example\r\nId: 7\r\n\r\n");
--- a/tests/gateway/test_caller.h
+++ b/tests/gateway/test_caller.h
@@ -4,20 +4,23 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <cstdint>
-#include <set>
+#include <memory>
 #include <string>
+#include <vector>
+
+#include "scenarios/runner/port_block.h"
 
 namespace mulberry::gateway {
 
-/// Returns a loopback port that is currently free. No port is returned twice, since the system may
-/// offer the same one again before it is used.
-inline std::uint16_t FreePort(asio::io_context& io) {
-  static std::set<std::uint16_t> returned;
-  while (true) {
-    const asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
-    const std::uint16_t port = acceptor.local_endpoint().port();
-    if (returned.insert(port).second) return port;
+/// Returns a loopback port that is free and that no other test program on this machine takes. No
+/// port is returned twice.
+inline std::uint16_t FreePort() {
+  static asio::io_context io;
+  static std::vector<std::unique_ptr<scenario::PortBlock>> blocks;
+  if (blocks.empty() || blocks.back()->used_up()) {
+    blocks.push_back(std::make_unique<scenario::PortBlock>(io));
   }
+  return blocks.back()->Next();
 }
 
 /// A caller's connection; the test writes and reads its bytes.
--- a/tests/platform/node_fixture.h
+++ b/tests/platform/node_fixture.h
@@ -51,7 +51,7 @@
 
   template <class Server>
   std::string Open(Server& server) {
-    const std::uint16_t port = gateway::FreePort(io);
+    const std::uint16_t port = gateway::FreePort();
     REQUIRE(server.Open("127.0.0.1", port));
     return "127.0.0.1:" + std::to_string(port);
   }
@@ -62,11 +62,11 @@
     node_settings.host = HostName("host-" + number);
     node_settings.data_centre = DataCentreName(data_centre);
     node_settings.ip = "127.0.0." + number;
-    node_settings.callers = node_settings.ip + ":" + std::to_string(gateway::FreePort(io));
-    node_settings.readiness = node_settings.ip + ":" + std::to_string(gateway::FreePort(io));
-    node_settings.directory = node_settings.ip + ":" + std::to_string(gateway::FreePort(io));
-    node_settings.peer_port = gateway::FreePort(io);
-    node_settings.metrics_port = gateway::FreePort(io);
+    node_settings.callers = node_settings.ip + ":" + std::to_string(gateway::FreePort());
+    node_settings.readiness = node_settings.ip + ":" + std::to_string(gateway::FreePort());
+    node_settings.directory = node_settings.ip + ":" + std::to_string(gateway::FreePort());
+    node_settings.peer_port = gateway::FreePort();
+    node_settings.metrics_port = gateway::FreePort();
     node_settings.store_address = store_address;
     node_settings.first_start = true;
     node_settings.leaving_bound = std::chrono::milliseconds(800);
--- a/tests/scenarios/runner/port_block.cc
+++ b/tests/scenarios/runner/port_block.cc
@@ -10,6 +10,8 @@
 constexpr std::uint16_t kFirstPort = 13000;
 constexpr std::uint16_t kPortsPerBlock = 400;
 constexpr std::uint16_t kBlocks = 40;
+/// Ports of a block that may be taken when the others are used up.
+constexpr std::uint16_t kSparePorts = 20;
 
 bool Bind(asio::ip::tcp::acceptor& acceptor, std::uint16_t port, bool reuse_address) {
   const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
@@ -36,6 +38,7 @@
     const auto port = static_cast<std::uint16_t>(kFirstPort + block * kPortsPerBlock);
     if (Bind(lock_, port, false)) {
       next_ = port;
+      last_ = static_cast<std::uint16_t>(port + kPortsPerBlock - kSparePorts);
       return;
     }
   }
--- a/tests/scenarios/runner/port_block.h
+++ b/tests/scenarios/runner/port_block.h
@@ -15,11 +15,14 @@
 
   /// Returns the next port that can be bound. Precondition: the block is not used up.
   std::uint16_t Next();
+  /// True when the next port might belong to another block.
+  bool used_up() const { return next_ >= last_; }
 
  private:
   asio::io_context& io_;
   asio::ip::tcp::acceptor lock_;
   std::uint16_t next_ = 0;
+  std::uint16_t last_ = 0;
 };
 
 }  // namespace mulberry::scenario
