--- a/tests/soak/checks.cc
+++ b/tests/soak/checks.cc
@@ -64,7 +64,7 @@
     if (sent.at < since || sent.status == kStatusOk || runs.count(id) == 0) continue;
     const std::string end = sent.status == 0 ? "ended without an answer"
                                              : "was answered " + std::to_string(sent.status);
-    broken.push_back("ran, and " + end + ": " + id + " sent to " + Where(fleet, sent));
+    broken.push_back(fmt::format("ran, and {}: {} sent to {}", end, id, Where(fleet, sent)));
   }
   return broken;
 }
