--- a/tests/gateway/server_removal_policy_test.cc
+++ b/tests/gateway/server_removal_policy_test.cc
@@ -89,8 +89,6 @@
   CHECK(policy.TakeRemovable(now + milliseconds(2400)) == std::vector{missing_server});
 }
 
-// While hosts were restarted one after another, each extended the grace time of those that had
-// started before. Found by a day with roll_term on hornolimpio-gw, seed 2, DRAIN.
 TEST_CASE("a host that started later does not extend the grace time of a start") {
   TimePoint now = TimePoint(seconds(100));
   ServerRemovalPolicy policy(kGraceTime);
