Gateway: relayed records of a newer era are applied once and in order

A host that the store refuses after a restore gets the operators' records from others, without a position of its own in the new era. It applied each update anew, asked for the same records with every heartbeat, and took an older update of a second reader after a newer one. A data centre that had been out and was back went out and back with each repeat, which made its servers cold again.

The follower now remembers up to where records of an era were relayed, skips what is before that, and the host asks only for what is beyond. The new test failed with the former delivery (applied twice, and the older value came back) and passes now.

--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -251,7 +251,7 @@
   if (message.server_update || message.operator_update) store_view_.OnPeerUpdate(message, now);
   if (load_report_sync_.OnPeerMessage(message, now)) forwarder_.DispatchQueued();
   const HostHeartbeat& sender = message.heartbeat;
-  if (store_view_.OnPeerState({store_view_.operator_position(), config_.version()},
+  if (store_view_.OnPeerState({store_view_.applied_operator_position(), config_.version()},
                               {sender.operator_position, sender.version}, now)) {
     PeerMessage question;
     question.heartbeat = OwnHeartbeat();
--- a/src/libgateway/store_reader.h
+++ b/src/libgateway/store_reader.h
@@ -55,6 +55,7 @@
 
   bool complete() const { return follower_.complete(); }
   TopicPosition position() const { return follower_.position(); }
+  TopicPosition applied_position() const { return follower_.applied_position(); }
   /// The newest known era of the store.
   StoreEra era() const { return follower_.era(); }
   bool failing() const { return failing_; }
--- a/src/libgateway/store_view.h
+++ b/src/libgateway/store_view.h
@@ -73,6 +73,8 @@
   /// The store responds to this host.
   bool reachable() const { return servers_.complete() && !servers_.failing(); }
   TopicPosition operator_position() const { return operators_.position(); }
+  /// What others need not send again, see TopicFollower::applied_position.
+  TopicPosition applied_operator_position() const { return operators_.applied_position(); }
 
  private:
   void OnOperatorRecord(const TopicRecord& record, RecordSource source);
--- a/src/libgateway/topic_follower.cc
+++ b/src/libgateway/topic_follower.cc
@@ -75,7 +75,11 @@
   if (!complete_) return false;
   OnEra(update.era);
   if (position_.era < update.era) {
-    for (const TopicRecord& record : update.records) Deliver(record);
+    relayed_to_ = std::max(relayed_to_, TopicPosition{update.era, Offset()});
+    for (const TopicRecord& record : update.records) {
+      if (record.offset >= relayed_to_.offset) Deliver(record);
+    }
+    relayed_to_.offset = std::max(relayed_to_.offset, update.to);
     return true;
   }
   if (!newest_complete_ || update.from > position_.offset) return false;
--- a/src/libgateway/topic_follower.h
+++ b/src/libgateway/topic_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -90,6 +91,9 @@
   bool reading_pages() const { return !newest_complete_ && !first_page_; }
   /// All records before this position have been delivered.
   TopicPosition position() const { return position_; }
+  /// The same, or up to where other hosts have relayed records of an era whose newest ones are
+  /// still to be read here; some before it may be missing.
+  TopicPosition applied_position() const { return std::max(position_, relayed_to_); }
   /// The newest known era of the store; the position may still be of an older one.
   StoreEra era() const { return era_; }
 
@@ -107,6 +111,7 @@
   Offset newest_end_;
   StoreEra era_;
   TopicPosition position_;
+  TopicPosition relayed_to_;
   Duration pause_{};
   std::uint32_t consecutive_failures_ = 0;  ///< Failed reads in a row.
   std::vector<std::string> known_keys_;
--- a/tests/gateway/topic_follower_test.cc
+++ b/tests/gateway/topic_follower_test.cc
@@ -174,6 +174,20 @@
   CHECK(follower.position() == TopicPosition{StoreEra(2), Offset(5)});
 }
 
+TEST_CASE_FIXTURE(Fixture, "relayed records of a newer era are applied once and in order") {
+  follower.OnNewest({{}, false, Offset(50), StoreEra(1)});
+  CHECK(follower.applied_position() == TopicPosition{StoreEra(1), Offset(50)});
+  CHECK(follower.OnRelayed({Offset(30), Offset(32), {}, {Put("a", "1", 31)}, StoreEra(2)}));
+  CHECK(follower.applied_position() == TopicPosition{StoreEra(2), Offset(32)});
+  CHECK(follower.OnRelayed({Offset(32), Offset(33), {}, {Put("a", "2", 32)}, StoreEra(2)}));
+  sources.clear();
+  CHECK(follower.OnRelayed({Offset(30), Offset(32), {}, {Put("a", "1", 31)}, StoreEra(2)}));
+  CHECK(sources.empty());
+  CHECK(state["a"] == "2");
+  CHECK(follower.OnRelayed({Offset(3), Offset(5), {}, {Put("a", "3", 4)}, StoreEra(3)}));
+  CHECK(state["a"] == "3");
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "relayed records of a newer era are applied without moving the position") {
   follower.OnNewest({{}, false, Offset(50), StoreEra(1)});
