Gateway: keys of pages that were read before a restore can be found missing

If the store is restored between two pages of its newest records, the records of the first page have taken effect, but their keys were forgotten. A server or a data centre that the copy lacks and nobody writes again stayed as it was until the host was restarted.

Found by a review, by reading; it needs more than one page. The keys of pages that were delivered now count as known, so that the next complete read reports what is missing.

--- a/src/libgateway/topic_follower.cc
+++ b/src/libgateway/topic_follower.cc
@@ -104,6 +104,10 @@
   newest_complete_ = false;
   first_page_ = true;
   last_page_key_.clear();
+  // Keys of pages that were delivered are known, so that a later read can find them missing.
+  known_keys_.insert(known_keys_.end(), seen_keys_.begin(), seen_keys_.end());
+  std::sort(known_keys_.begin(), known_keys_.end());
+  known_keys_.erase(std::unique(known_keys_.begin(), known_keys_.end()), known_keys_.end());
   seen_keys_.clear();
 }
 
--- a/tests/gateway/topic_follower_test.cc
+++ b/tests/gateway/topic_follower_test.cc
@@ -188,6 +188,14 @@
   CHECK(state["a"] == "3");
 }
 
+TEST_CASE_FIXTURE(Fixture, "a key of a page that was read before a restore is found missing") {
+  follower.OnNewest({{Put("a", "1")}, true, Offset(5), StoreEra(1)});
+  follower.OnNewest({{Put("b", "1")}, false, Offset(5), StoreEra(2)});
+  follower.OnNewest({{Put("b", "1")}, false, Offset(3), StoreEra(2)});
+  CHECK(state.count("a") == 0);
+  CHECK(state["b"] == "1");
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "relayed records of a newer era are applied without moving the position") {
   follower.OnNewest({{}, false, Offset(50), StoreEra(1)});
