Gateway: log what a claim that a request has not run rests on

A request was answered as not run although a server had run it, and the logs could not tell which of three hypotheses holds. attempt_failed now says whether the response has an id, a signature and a statement that it was not run, how many responses to other requests came first, and whether a part of the request was unsent; failed counts the attempts under way; a skipped response is logged as response_skipped.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -295,21 +295,33 @@
   --call->state.running;
   if (!ProvesNotRun(end) && end != AttemptOutcome::kAnswered) call->state.may_have_run = true;
   if (end != AttemptOutcome::kAnswered) {
-    LogEvent(LogLevel::kInfo, "attempt_failed",
-             {{"request", call->request_id},
-              {"server", attempt.server.str()},
-              {"end", AttemptOutcomeName(end)},
-              {"status", answer.response.status},
-              {"error", answer.error},
-              {"reused", answer.reused},
-              {"took_ms", ToMilliseconds(now - attempt.context.sent)},
-              {"attempt", call->state.attempts}});
+    LogAttemptFailure(*call, attempt, end, answer, now);
   }
   if (!call->answered) HandleAttemptEnd(*call, end, answer.response, attempt, now);
   EraseIfDone(id);
   DispatchQueued();
 }
 
+void Forwarder::LogAttemptFailure(const Call& call, const Attempt& attempt, AttemptOutcome end,
+                                  const ExchangeResult& answer, TimePoint now) const {
+  const HeaderNames& names = deps_.adapter.headers();
+  const HeaderList& headers = answer.response.headers;
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", call.request_id},
+            {"server", attempt.server.str()},
+            {"end", AttemptOutcomeName(end)},
+            {"status", answer.response.status},
+            {"error", answer.error},
+            {"reused", answer.reused},
+            {"took_ms", ToMilliseconds(now - attempt.context.sent)},
+            {"attempt", call.state.attempts},
+            {"has_id", FindHeader(headers, names.request_id) != nullptr},
+            {"says_not_run", FindHeader(headers, names.not_run) != nullptr},
+            {"signed", FindHeader(headers, names.server_signature) != nullptr},
+            {"skipped", answer.skipped_responses},
+            {"write_pending", answer.write_pending}});
+}
+
 void Forwarder::RecordLoadReport(const ServerName& server, AttemptOutcome end,
                                  const HttpMessage& message, TimePoint now) {
   const std::string* load = FindHeader(message.headers, deps_.adapter.headers().load);
@@ -390,6 +402,7 @@
             {"reason", std::string(reason)},
             {"waited_for", call.last_wait_reason},
             {"may_have_run", call.state.may_have_run || call.state.running > 0},
+            {"running", call.state.running},
             {"held_ms", ToMilliseconds(now - call.arrived)},
             {"left_ms", ToMilliseconds(call.deadline - now)},
             {"attempts", call.state.attempts}});
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -104,6 +104,8 @@
   void Dequeue(Call& call);
   void Send(Call& call, const Selection& choice, bool hedge, TimePoint now);
   void OnAttemptEnd(CallId id, AttemptId attempt, ExchangeResult answer);
+  void LogAttemptFailure(const Call& call, const Attempt& attempt, AttemptOutcome end,
+                         const ExchangeResult& answer, TimePoint now) const;
   void RecordLoadReport(const ServerName& server, AttemptOutcome end, const HttpMessage& message,
                         TimePoint now);
   void HandleAttemptEnd(Call& call, AttemptOutcome end, HttpMessage& message,
--- a/src/libgateway/http_client_connection.cc
+++ b/src/libgateway/http_client_connection.cc
@@ -205,7 +205,15 @@
   const bool may_be_servers_choice = request_.id.empty() && finished_exchanges_ == 0;
   const bool for_other_request = id != nullptr && *id != request_.id && !may_be_servers_choice;
   if (interim || for_other_request) {
-    if (for_other_request) reusable_ = true;
+    if (for_other_request) {
+      reusable_ = true;
+      ++responses_to_others_;
+      LogEvent(LogLevel::kInfo, "response_skipped",
+               {{"request", request_.id},
+                {"other_request", *id},
+                {"status", message.status},
+                {"peer", peer_.address().to_string() + ":" + std::to_string(peer_.port())}});
+    }
     reader_.Reset();
     reader_.ExpectNoBody(request_.is_head);
     if (++skipped_responses_ > kMaxSkippedResponses) {
@@ -245,9 +253,12 @@
   result.outcome = outcome;
   result.error = std::move(error);
   result.reused = finished_exchanges_ > 0;
+  result.write_pending = connected_ && !write_finished_;
+  result.skipped_responses = responses_to_others_;
   if (outcome == ExchangeOutcome::kResponseReceived) result.response = std::move(reader_.message());
   ++finished_exchanges_;
   skipped_responses_ = 0;
+  responses_to_others_ = 0;
   idle_since_ = MonotonicClock::now();
   const Callback callback = std::exchange(callback_, nullptr);
   if (outcome != ExchangeOutcome::kResponseReceived || !reusable_) Close();
--- a/src/libgateway/http_client_connection.h
+++ b/src/libgateway/http_client_connection.h
@@ -29,6 +29,10 @@
   std::string error;
   /// The connection had been used before this exchange.
   bool reused = false;
+  /// Part of the request had not yet been accepted by the socket.
+  bool write_pending = false;
+  /// Responses to other requests that arrived before this one's.
+  int skipped_responses = 0;
 };
 
 /// One request on a connection.
@@ -102,7 +106,8 @@
   bool write_started_ = false;
   bool write_finished_ = false;
   std::uint32_t finished_exchanges_ = 0;
-  int skipped_responses_ = 0;
+  int skipped_responses_ = 0;  ///< Including interim responses.
+  int responses_to_others_ = 0;
   TimePoint idle_since_;
   Duration keep_alive_timeout_{};
 };
