Gateway: a response head that contains another one's status line is malformed

Callers were told "not run, try again" for requests that a server had run, or such a request ran at a second server.

Cause: a server that writes an earlier response once more on a kept connection may stop within its head and then write the response that is due. The parser saw one head: the status line and the statement that the request was not run were the copy's, the id was the answer's. The id matched, so the refusal was believed; in the same way a failure became a success or a success a failure, since nothing checked that a head comes from one response.

HttpReader now rejects a response with a status line in a header value or the reason phrase; elsewhere in the head it was malformed already. The attempt ends as broken, which promises nothing, and the connection is closed. The error names it: "status line within a response head".

That the recorded case came about in this way is not proved.

--- a/src/libgateway/http_client_connection.cc
+++ b/src/libgateway/http_client_connection.cc
@@ -27,6 +27,8 @@
       return "response body too large";
     case ReadError::kMemoryFull:
       return "no memory for the response body";
+    case ReadError::kSecondHead:
+      return "status line within a response head";
     case ReadError::kMalformed:
     case ReadError::kNone:
       break;
--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -23,6 +23,24 @@
          kTokenPunctuation.find(static_cast<char>(c)) != std::string_view::npos;
 }
 
+bool IsDigit(char c) { return std::isdigit(static_cast<unsigned char>(c)) != 0; }
+
+/// True when the text contains a status line up to its code, as in "HTTP/1.1 200".
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kProtocol = "HTTP/";
+  constexpr std::string_view kPattern = "d.d ddd";  // d: a digit.
+  for (std::size_t at = text.find(kProtocol); at != std::string_view::npos;
+       at = text.find(kProtocol, at + 1)) {
+    const std::string_view rest = text.substr(at + kProtocol.size(), kPattern.size());
+    if (std::equal(
+            rest.begin(), rest.end(), kPattern.begin(), kPattern.end(),
+            [](char c, char expected) { return expected == 'd' ? IsDigit(c) : c == expected; })) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool IsControl(unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; }
 
 HttpReader* ReaderOf(http_parser* parser) { return static_cast<HttpReader*>(parser->data); }
@@ -173,6 +191,13 @@
   return hosts <= 1;
 }
 
+bool HttpReader::ContainsSecondHead() const {
+  return kind_ == Kind::kResponse &&
+         (ContainsStatusLine(message_.reason) ||
+          std::any_of(message_.headers.begin(), message_.headers.end(),
+                      [](const auto& header) { return ContainsStatusLine(header.second); }));
+}
+
 bool HttpReader::ReserveBody(std::size_t bytes) {
   if (limits_.memory == nullptr) return true;
   const auto use =
@@ -185,6 +210,10 @@
 int HttpReader::OnHead(http_parser* parser) {
   HttpReader* self = ReaderOf(parser);
   self->head_complete_ = true;
+  if (self->ContainsSecondHead()) {
+    self->error_ = ReadError::kSecondHead;
+    return -1;
+  }
   if (!self->IsHeadValid()) {
     self->error_ = ReadError::kMalformed;
     return -1;
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -14,6 +14,7 @@
 enum class ReadError {
   kNone,
   kMalformed,
+  kSecondHead,  ///< A response's head was cut off and continued by the start of another response.
   kHeadTooLarge,
   kBodyTooLarge,
   kMemoryFull,  ///< The memory budget does not suffice for the body.
@@ -28,7 +29,8 @@
 
 /// Parses the HTTP/1.1 messages of one connection, one at a time. Rejects messages that other
 /// parsers may interpret differently: a space before a header's colon, folded lines, Content-Length
-/// together with chunks, bare control characters. Not thread safe.
+/// together with chunks, bare control characters, a status line within a response's head. Not
+/// thread safe.
 class HttpReader {
  public:
   enum class Kind { kRequest, kResponse };
@@ -76,6 +78,7 @@
   /// Reserves memory for a body of `bytes`. Returns false and sets the error if there is none.
   bool ReserveBody(std::size_t bytes);
   bool IsHeadValid() const;
+  bool ContainsSecondHead() const;
 
   Kind kind_;
   ReadLimits limits_;
