Soak: servers that repeat a part of an earlier refusal

One server after another writes a part of an earlier refusal before each of its responses, cut at a point that depends on the request, beside the other faults and with a generator of its own, so that the faults of earlier seeds stay.

--- a/tests/platform/fake_backend_server.h
+++ b/tests/platform/fake_backend_server.h
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,7 +20,8 @@
   kServing,
   kDropsResponses,  ///< Runs them and never responds.
   kFailing,         ///< Runs them and responds with status 500.
-  kDisconnects      ///< Runs them and closes the connection without their response.
+  kDisconnects,     ///< Runs them and closes the connection without their response.
+  kRepeatsRefusal   ///< Runs them and writes a part of an earlier refusal before each response.
 };
 
 /// A backend server on loopback that counts the requests it has run. Only for the thread that runs
@@ -38,6 +40,7 @@
   const std::string& id() const { return id_; }
   const std::string& service() const { return service_; }
   void SetMode(BackendMode mode) { mode_ = mode; }
+  BackendMode mode() const { return mode_; }
   void SetServiceTime(std::chrono::milliseconds service_time) { service_time_ = service_time; }
   /// How often each request id was run.
   const std::map<std::string, int>& runs() const { return run_counts_; }
@@ -73,6 +76,13 @@
   void OnMemoryFull(gateway::ExchangeId, const gateway::HttpMessage&) override {}
 
  private:
+  std::string RepeatedBytes(const std::string& request_id) const {
+    if (mode_ != BackendMode::kRepeatsRefusal) return "";
+    const std::string refusal =
+        "HTTP/1.1 503 -\r\nX-Not-Executed: 1\r\nX-Backend-Load: 8,3,8,100\r\n"
+        "X-Request-Id: earlier\r\nContent-Length: 0\r\n\r\n";
+    return refusal.substr(0, std::hash<std::string>()(request_id) % refusal.size());
+  }
   void Respond(gateway::ExchangeId exchange, const std::string& request_id) {
     if (mode_ == BackendMode::kDropsResponses) return;
     if (mode_ == BackendMode::kDisconnects) {
@@ -82,9 +92,10 @@
     }
     const int status = mode_ == BackendMode::kFailing ? 500 : 200;
     server_.Respond(exchange,
-                    "HTTP/1.1 " + std::to_string(status) + " -\r\nX-Request-Id: " + request_id +
-                        "\r\nX-Response-Signature: " + id_ + "." + request_id +
-                        "\r\nX-Backend-Load: " + std::to_string(running_) + ",0,8,100\r\n",
+                    RepeatedBytes(request_id) + "HTTP/1.1 " + std::to_string(status) +
+                        " -\r\nX-Request-Id: " + request_id + "\r\nX-Response-Signature: " + id_ +
+                        "." + request_id + "\r\nX-Backend-Load: " + std::to_string(running_) +
+                        ",0,8,100\r\n",
                     service_ + ":" + request_id);
   }
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -11,6 +11,7 @@
 #include "soak/busy_stops.h"
 #include "soak/checks.h"
 #include "soak/faults.h"
+#include "soak/faulty_servers.h"
 #include "soak/store_restores.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the faults");
@@ -36,6 +37,7 @@
         callers_(io_, fleet_, seed),
         faults_(io_, fleet_, seed * 7919),
         restores_(io_, fleet_, seed * 104729),
+        faulty_servers_(io_, fleet_, seed * 15485863),
         busy_stops_(io_, fleet_, callers_, seed) {
     Prepare();
     RunFaults(fault_time);
@@ -83,8 +85,10 @@
   void RunFaults(seconds time) {
     faults_.Start();
     restores_.Start();
+    faulty_servers_.Start();
     RunFor(time);
     restores_.Heal();
+    faulty_servers_.Heal();
     faults_.Heal();
     RunFor(kSettle);
   }
@@ -137,6 +141,7 @@
   Callers callers_;
   Faults faults_;
   StoreRestores restores_;
+  FaultyServers faulty_servers_;
   BusyStops busy_stops_;
   std::vector<std::string> broken_;
 };
