Gateway: ejected servers return to a service without idempotent requests

Cause: a server that was ejected returns by a trial request, and only an idempotent request may be the trial. Where a service gets none, as when its only route is not idempotent, no trial is ever made; the host that had ejected all four servers in 7 s never used one again. Its log shows the four ejections (two broken responses each) and no further attempt.

A trial is now left to idempotent requests for a second, and then any request may be it.

"ejected servers return to a service without idempotent requests" failed before: 0 of 2 servers returned in 5 s.

--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -18,6 +18,9 @@
 /// If a larger fraction of a service's servers answers with errors, ejecting more of them would
 /// overload the rest.
 constexpr double kMaxEjectedFraction = 0.34;
+/// A trial is left to idempotent requests for this long, since it may cost the request. A service
+/// without such requests would otherwise never get an ejected server back.
+constexpr Duration kIdempotentTrialTime = std::chrono::seconds(1);
 /// Lower bound that limits the effect of a report from an unusually fast machine.
 constexpr double kMinSlowness = 0.1;
 /// No health checks are sent to a service that was not requested within this time.
@@ -127,7 +130,9 @@
     Server& server = servers_.at(id);
     if (request.tried.count(id) != 0 || !IsUsable(server, now)) continue;
     const bool in_trial = server.health.StateAt(now) == ServerHealth::State::kTrial;
-    if (in_trial && !request.idempotent) continue;
+    if (in_trial && !request.idempotent && now < server.health.TrialTime() + kIdempotentTrialTime) {
+      continue;
+    }
     const bool low_load_only = request.hedge || server.entry.data_centre != options_.data_centre;
     if (LoadOf(server, now) >= (low_load_only ? MaxSlots(server, options_.spare_load_fraction)
                                               : ConcurrencyLimit(server, state))) {
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -46,7 +46,7 @@
   const ServiceName& service;
   /// Servers to exclude.
   const std::set<ServerName>& tried;
-  /// Only an idempotent request may be sent to a server on trial after an ejection.
+  /// A server on trial after an ejection gets an idempotent request if one comes in time.
   bool idempotent = false;
   /// A second attempt for a slow request; it goes only to a server with a low load.
   bool hedge = false;
--- a/tests/gateway/server_pool_test.cc
+++ b/tests/gateway/server_pool_test.cc
@@ -140,6 +140,30 @@
   CHECK(pool.StateName(id, now) == "cold");
 }
 
+TEST_CASE_FIXTURE(Fixture, "ejected servers return to a service without idempotent requests") {
+  for (const std::string id : {"a", "b"}) {
+    pool.Put(Entry(id), now);
+    for (int i = 0; i < 2; ++i) {
+      pool.OnEnd(ServerName(id), AttemptOutcome::kBroken, pool.OnSent(ServerName(id), now), now);
+    }
+    REQUIRE(pool.StateName(ServerName(id), now) == "ejected");
+  }
+  const TimePoint ejected_at = now;
+  while (now < ejected_at + seconds(5)) {
+    now += milliseconds(50);
+    for (const std::string tried : {"a", "b"}) {
+      const auto choice = pool.Select({search_service, {ServerName(tried)}, false, false}, now);
+      const auto* chosen = std::get_if<Selection>(&choice);
+      if (chosen == nullptr) continue;
+      // A trial for which an idempotent request may still come is left to it.
+      CHECK(now - ejected_at >= seconds(1));
+      pool.OnEnd(chosen->id, AttemptOutcome::kAnswered, pool.OnSent(chosen->id, now), now);
+    }
+  }
+  CHECK(pool.StateName(ServerName("a"), now) == "warm");
+  CHECK(pool.StateName(ServerName("b"), now) == "warm");
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "health checks are due for servers with an old load report, each from one host") {
   for (int i = 0; i < 20; ++i) pool.Put(Entry("s" + std::to_string(i)), now);
