Platform: a server entry whose address can't be used names no server

Requests got 503 no_server although sound servers were there.

Cause: an entry by another writer was taken for a server whatever its address was: port 99999 or 0, no port, a name, 12,000 characters, under an id of its own or in place of a sound server's entry. Such a server has no load and looks fastest, so it was chosen again and again.

Tried without a finding: entries nested 130,000 deep, numbers of 60 digits and beyond the range of a double, and an unpaired surrogate, in every field ("deeply nested and oversized values in a server entry do no harm").

--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -111,6 +111,53 @@
   CHECK_FALSE(adapter->ParseServer({"i-1", "[]"}).has_value());
 }
 
+TEST_CASE("a server entry whose address nobody can connect to is rejected") {
+  const auto adapter = MakeAdapter();
+  const auto parses_with_address = [&](const std::string& address) {
+    std::string text = kServer;
+    const std::size_t begin = text.find("\"Address\":\"") + 11;
+    text.replace(begin, text.find('"', begin) - begin, address);
+    return adapter->ParseServer({"i-1", text}).has_value();
+  };
+  CHECK(parses_with_address("10.128.0.9:65535"));
+  for (const std::string address :
+       {"10.128.0.9:99999", "10.128.0.9:65536", "10.128.0.9:0", "10.128.0.9:-1",
+        "10.128.0.9:", "10.128.0.9", "10.128.0.9:80:80", "server.example:80", ":80", "",
+        "0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80", "10.128.0.9:18446744073709551697"}) {
+    CAPTURE(address);
+    CHECK_FALSE(parses_with_address(address));
+  }
+  const auto error =
+      adapter->ParseServer({"i-1", std::string(kServer).replace(std::string(kServer).find("10."), 3,
+                                                                std::string(12000, '1'))});
+  REQUIRE_FALSE(error.has_value());
+  CHECK(error.error().message.size() < 200);
+}
+
+TEST_CASE("deeply nested and oversized values in a server entry do no harm") {
+  const auto adapter = MakeAdapter();
+  constexpr std::size_t kLevels = 130'000;
+  const std::string lists = std::string(kLevels, '[') + std::string(kLevels, ']');
+  std::string objects;
+  for (std::size_t i = 0; i < kLevels; ++i) objects += "{\"a\":";
+  objects += "1" + std::string(kLevels, '}');
+  for (const std::string& value :
+       {lists, objects, std::string(kLevels, '['), std::string("1e400"), std::string(60, '9'),
+        "-" + std::string(60, '9'), std::string("\"\\ud800\"")}) {
+    for (const std::string name : {"Service", "Address", "Slots", "Seq", "WarmupLeftMs", "born"}) {
+      CAPTURE(name);
+      std::string text = kServer;
+      const std::size_t begin = text.find("\"" + name + "\":") + name.size() + 3;
+      text.replace(begin, text.find_first_of(",}", begin) - begin, value);
+      CHECK_FALSE(adapter->ParseServer({"i-1", text}).has_value());
+    }
+    CHECK_FALSE(adapter->ParseServer({"i-1", value}).has_value());
+    CHECK_FALSE(adapter->ParseHost({"host", value}).has_value());
+    CHECK_FALSE(adapter->ParseOperatorRecord({"config", value}).has_value());
+  }
+  CHECK(adapter->ParseServer({"i-1", kServer}).has_value());
+}
+
 TEST_CASE("the records of a read are decoded, and a removed key has no value") {
   const std::string body = BigEndian(9, 8) + BigEndian(2, 8) + EncodeRecord("a", "12") +
                            EncodeRecord("b", "") + EncodeRecord("c", std::string(1, '\0'));
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -44,6 +44,34 @@
   CHECK(MonotonicClock::now() - recovered_at < seconds(2));
 }
 
+TEST_CASE_FIXTURE(NodeFixture,
+                  "odd entries of another writer don't keep requests from sound servers") {
+  AddNode();
+  AddNode();
+  REQUIRE(RunUntil(io, [&] { return IsReady(0) && IsReady(1); }));
+  REQUIRE(Get(settings[0].callers, "/read/x").starts_with("HTTP/1.1 200"));
+  FakeBackendServer third_server(io, "i-3", "s");
+  for (const std::string address : {"127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1", "host:80"}) {
+    store.Put("keyed.servers", "odd-" + address, EntryText("s", address));
+    store.Put("keyed.servers", "i-1", EntryText("s", address));
+  }
+  store.Put("keyed.servers", "nested", std::string(100'000, '['));
+  store.Put("keyed.servers", "long", EntryText("s", std::string(12'000, '1')));
+  store.Put("keyed.servers", "i-3", EntryText("s", Open(third_server)));
+  CHECK(RunUntil(
+      io, [&] { return Get(settings[0].callers, "/read/x").find("i-3.") != std::string::npos; }));
+  for (int i = 0; i < 20; ++i) {
+    for (const auto& node : settings) {
+      CHECK(Get(node.callers, "/read/x").starts_with("HTTP/1.1 200"));
+    }
+  }
+  AddNode();
+  REQUIRE(RunUntil(io, [&] { return IsReady(2); }));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Get(settings[2].callers, "/read/x").starts_with("HTTP/1.1 200"));
+  }
+}
+
 TEST_CASE_FIXTURE(NodeFixture, "a node recovers after the store has dropped responses") {
   AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
