Gateway: a server with an unusable address costs no request

A request whose chosen server has an address that can't be parsed was refused with 503 no_server, although other servers were there; and where it was the second attempt of a slow request, the call failed with that 503, which says "not run", while its first attempt was running (may_have_run=1 running=1 in the log).

The server is now left out and another one chosen; a second attempt that finds none leaves the first one alone.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -234,8 +234,7 @@
     LogEvent(LogLevel::kError, "server_address_unusable",
              {{"server", choice.id.str()}, {"error", link.error().message}});
     call.tried.insert(choice.id);
-    FailCall(call, FailureStatus(call.state.may_have_run, false), "no_server",
-             RetryAfterFor(call, now), now);
+    if (!hedge) TryDispatch(call, false, now);
     return;
   }
   Attempt attempt{AttemptId(next_attempt_++), choice.id, choice.address,
--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -456,6 +456,26 @@
   WaitForText("done");
 }
 
+TEST_CASE_FIXTURE(Fixture, "a server with an unusable address costs no request") {
+  SUBCASE("another server gets it") {
+    pool.Remove(ServerName("a"));
+    for (int i = 0; i < 3; ++i) AddServer("odd-" + std::to_string(i), "127.0.0.1:99999");
+    SUBCASE("idempotent") { SendRequest("GET", "/read/1"); }
+    SUBCASE("not idempotent") { SendRequest("POST", "/write/1", "Content-Length: 0\r\n"); }
+    NextServerConnection()->Write(Answer(200, "served"));
+  }
+  SUBCASE("the first attempt goes on when the second has none") {
+    pool.Remove(ServerName("b"));
+    SendRequest("GET", "/read/1");
+    const auto at = NextServerConnection();
+    AddServer("odd", "127.0.0.1:99999");
+    RunFor(io, milliseconds(150));
+    at->Write(Answer(200, "served"));
+  }
+  WaitForText("served");
+  CHECK(caller.received.starts_with("HTTP/1.1 200 "));
+}
+
 TEST_CASE_FIXTURE(Fixture, "a slow idempotent request is sent to a second server, once") {
   SendRequest("GET", "/read/1");
   const auto slow = NextServerConnection();
