--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -162,8 +162,7 @@
 void Forwarder::TryDispatch(Call& call, bool hedge, TimePoint now) {
   if (IsTooLate(call, now)) {
     if (!hedge) {
-      FailCall(call, FailureStatus(call.state.may_have_run, true), "too_late",
-               RetryAfterFor(call, now), now);
+      FailCall(call, FailureCause::kTimeout, "too_late", RetryAfterFor(call, now), now);
     }
     return;
   }
@@ -183,16 +182,14 @@
   call.last_wait_reason = NoServerReasonName(reason);
   const std::size_t slots = deps_.pool.SlotsOf(call.service);
   if (reason == NoServerReason::kNoServer || slots == 0) {
-    FailCall(call, FailureStatus(call.state.may_have_run, false), call.last_wait_reason,
-             RetryAfterFor(call, now), now);
+    FailCall(call, FailureCause::kOther, call.last_wait_reason, RetryAfterFor(call, now), now);
     return;
   }
   if (!call.queued) {
     const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
     call.queued = queues_[call.service].TryEnqueue(ToQueuedCall(call), usual_time, now);
     if (!call.queued) {
-      FailCall(call, FailureStatus(call.state.may_have_run, false), "queue_too_long",
-               RetryAfterFor(call, now), now);
+      FailCall(call, FailureCause::kOther, "queue_too_long", RetryAfterFor(call, now), now);
       return;
     }
   }
@@ -356,12 +353,10 @@
         Relay(call, message, attempt, now);
         return;
       }
-      FailCall(call, FailureStatus(call.state.may_have_run, false), "retry_budget_spent",
-               RetryAfterFor(call, now), now);
+      FailCall(call, FailureCause::kOther, "retry_budget_spent", RetryAfterFor(call, now), now);
       return;
     case NextStep::kFail:
-      FailCall(call, FailureStatus(call.state.may_have_run, false), AttemptOutcomeName(end),
-               RetryAfterFor(call, now), now);
+      FailCall(call, FailureCause::kOther, AttemptOutcomeName(end), RetryAfterFor(call, now), now);
       return;
   }
 }
@@ -371,7 +366,8 @@
       message.status == 503 || message.status == 429 || message.status == 408;
   if (promises_not_run) {
     // The server ran the request, so the caller must not get a status that says it did not run.
-    FailCall(call, FailureStatus(true, false), "server_status", Duration::zero(), now);
+    call.state.may_have_run = true;
+    FailCall(call, FailureCause::kOther, "server_status", Duration::zero(), now);
     return;
   }
   deps_.metrics.OnResponse(call.service, message.status, now - call.arrived);
@@ -388,8 +384,10 @@
 }
 
 /// Sends the error response of a call that was not served.
-void Forwarder::FailCall(Call& call, int status, std::string_view reason, Duration retry_after,
-                         TimePoint now) {
+void Forwarder::FailCall(Call& call, FailureCause cause, std::string_view reason,
+                         Duration retry_after, TimePoint now) {
+  const bool may_have_run = call.state.may_have_run || call.state.running > 0;
+  const int status = FailureStatus(may_have_run, cause == FailureCause::kTimeout);
   deps_.metrics.OnRefusal(reason);
   deps_.metrics.OnResponse(call.service, status, now - call.arrived);
   LogEvent(LogLevel::kInfo, "failed",
@@ -400,7 +398,7 @@
             {"status", status},
             {"reason", std::string(reason)},
             {"waited_for", call.last_wait_reason},
-            {"may_have_run", call.state.may_have_run || call.state.running > 0},
+            {"may_have_run", may_have_run},
             {"running", call.state.running},
             {"held_ms", ToMilliseconds(now - call.arrived)},
             {"left_ms", ToMilliseconds(call.deadline - now)},
@@ -504,10 +502,9 @@
     return;
   }
   if (call.running.empty()) {
-    FailCall(call, FailureStatus(call.state.may_have_run, true), "queue_time_over",
-             RetryAfterFor(call, now), now);
+    FailCall(call, FailureCause::kTimeout, "queue_time_over", RetryAfterFor(call, now), now);
   } else {
-    FailCall(call, FailureStatus(true, true), "no_answer_in_time", Duration::zero(), now);
+    FailCall(call, FailureCause::kTimeout, "no_answer_in_time", Duration::zero(), now);
   }
   EraseIfDone(id);
 }
@@ -526,7 +523,7 @@
     const bool may_have_run = call.state.may_have_run || !call.running.empty();
     CancelAttempts(call, AttemptOutcome::kCancelled, now);
     call.state.may_have_run = may_have_run;
-    FailCall(call, FailureStatus(may_have_run, true), "stopping", Duration::zero(), now);
+    FailCall(call, FailureCause::kTimeout, "stopping", Duration::zero(), now);
     EraseIfDone(id);
   }
 }
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -96,6 +96,7 @@
     bool queued = false;
     const char* last_wait_reason = "";
   };
+  enum class FailureCause { kTimeout, kOther };
   Call* Find(CallId id);
   bool Admit(Call& call);
   bool IsTooLate(const Call& call, TimePoint now) const;
@@ -111,7 +112,7 @@
   void HandleAttemptEnd(Call& call, AttemptOutcome end, HttpMessage& message,
                         const Attempt& attempt, TimePoint now);
   void Relay(Call& call, HttpMessage& message, const Attempt& attempt, TimePoint now);
-  void FailCall(Call& call, int status, std::string_view reason, Duration retry_after,
+  void FailCall(Call& call, FailureCause cause, std::string_view reason, Duration retry_after,
                 TimePoint now);
   void Reply(Call& call, std::string head, const std::string& body);
   void Refuse(ExchangeId exchange, int status, std::string_view reason,
