Gateway: a response that contradicts itself proves nothing

Callers could be told "not run" for a request that a server had run. Same class as the heads of two responses in one, where no second status line shows: the classifier took the statement of not having run for the whole truth, whatever else the response said (a signature, status 200, two ids).

A response is now broken, which promises nothing, if the id, the signature or the statement occurs twice, if the statement stands beside a signature or under a status that is no refusal, or if a refusal for another server is signed. The adapter says which statuses may refuse.

--- a/src/libgateway/platform_adapter.h
+++ b/src/libgateway/platform_adapter.h
@@ -97,6 +97,8 @@
   virtual std::optional<LoadReport> ParseLoad(std::string_view value) const = 0;
   virtual HealthReport ParseHealth(
       int status, const std::vector<std::pair<std::string, std::string>>& headers) const = 0;
+  /// True for a status with which a server may say that it did not run the request.
+  virtual bool IsRefusal(int status) const = 0;
   /// True for a status with which a server refuses a request meant for another server.
   virtual bool IsMisdirected(int status) const = 0;
 
--- a/tests/gateway/fake_adapter.h
+++ b/tests/gateway/fake_adapter.h
@@ -29,6 +29,9 @@
   Result<HostRecord> ParseHost(const TopicRecord&) const override { return HostRecord(); }
   std::optional<LoadReport> ParseLoad(std::string_view) const override { return std::nullopt; }
   HealthReport ParseHealth(int, const HeaderList&) const override { return {}; }
+  bool IsRefusal(int status) const override {
+    return status == 400 || status == 421 || status == 429 || status == 503;
+  }
   bool IsMisdirected(int status) const override { return status == 421; }
   bool IsReadinessRequest(std::string_view) const override { return false; }
   std::optional<AddressQuery> ParseAddressQuery(std::string_view) const override {
--- a/tests/gateway/mixed_response_test.cc
+++ b/tests/gateway/mixed_response_test.cc
@@ -136,5 +136,36 @@
   }
 }
 
+TEST_CASE("a response that contradicts itself proves nothing") {
+  const FakeAdapter adapter;
+  const auto classify = [&](std::string_view status_line, std::string_view header_lines) {
+    HttpReader reader(HttpReader::Kind::kResponse, kLimits);
+    const std::string bytes = Response(status_line, kRequestId, header_lines, "");
+    reader.Read(bytes);
+    REQUIRE(reader.complete());
+    ExchangeResult result;
+    result.outcome = ExchangeOutcome::kResponseReceived;
+    result.reused = true;
+    result.response = std::move(reader.message());
+    return ClassifyResponse(result, std::string(kRequestId), adapter);
+  };
+  constexpr std::string_view kOk = "HTTP/1.1 200 OK";
+  constexpr std::string_view kBusy = "HTTP/1.1 503 Service Unavailable";
+  constexpr std::string_view kOther = "HTTP/1.1 421 Misdirected Request";
+  CHECK(classify(kBusy, "Not-Run: 1\r\n") == AttemptOutcome::kShed);
+  CHECK(classify("HTTP/1.1 400 Bad Request", "Not-Run: 1\r\n") == AttemptOutcome::kShed);
+  CHECK(classify(kOther, "Not-Run: 1\r\n") == AttemptOutcome::kMisdirected);
+  CHECK(classify(kOk, "Signature: 1\r\n") == AttemptOutcome::kAnswered);
+  for (const std::string_view status_line : {kOk, kBusy, kOther}) {
+    CAPTURE(status_line);
+    CHECK(classify(status_line, "Not-Run: 1\r\nSignature: 1\r\n") == AttemptOutcome::kBroken);
+    CHECK(classify(status_line, "Signature: 1\r\nSignature: 2\r\n") == AttemptOutcome::kBroken);
+    CHECK(classify(status_line, "Id: request-1\r\nNot-Run: 1\r\n") == AttemptOutcome::kBroken);
+  }
+  CHECK(classify(kOther, "Signature: 1\r\n") == AttemptOutcome::kBroken);
+  CHECK(classify(kOk, "Not-Run: 1\r\n") == AttemptOutcome::kBroken);
+  CHECK(classify("HTTP/1.1 500 Error", "Not-Run: 1\r\n") == AttemptOutcome::kBroken);
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
