Client connection: a write under way counts as begun

Cause: bytes that an asynchronous write has sent were counted when the write completes. If the first write is refused by a full socket buffer and the connection ends while the second goes on, the exchange ended as not sent.

A write that is handed to the io_context now counts as begun. No test shows the fault: it needs a socket buffer that is full at the first byte of a request, which the tests can't arrange through the pool.

--- a/src/libgateway/http_client_connection.cc
+++ b/src/libgateway/http_client_connection.cc
@@ -118,18 +118,18 @@
   write_started_ = sent > 0;
   const auto rest = RequestBytes(sent);
   if (asio::buffer_size(rest) == 0) {
-    OnWritten({}, sent);
+    OnWritten({});
     return;
   }
-  asio::async_write(
-      socket_, rest,
-      [self = shared_from_this()](const asio::error_code& failure, std::size_t bytes) {
-        if (!self->closed_) self->OnWritten(failure, bytes);
-      });
+  // How much of the rest is sent shows only when the write completes.
+  write_started_ = true;
+  asio::async_write(socket_, rest,
+                    [self = shared_from_this()](const asio::error_code& failure, std::size_t) {
+                      if (!self->closed_) self->OnWritten(failure);
+                    });
 }
 
-void HttpClientConnection::OnWritten(const asio::error_code& error, std::size_t bytes) {
-  write_started_ = write_started_ || bytes > 0;
+void HttpClientConnection::OnWritten(const asio::error_code& error) {
   if (!busy()) {
     // The response came before the whole request was written; the server would read the rest as a
     // new request.
@@ -137,8 +137,7 @@
     return;
   }
   if (error) {
-    Finish(write_started_ ? ExchangeOutcome::kFailedAfterSend : ExchangeOutcome::kNotSent,
-           error.message());
+    Finish(ExchangeOutcome::kFailedAfterSend, error.message());
     return;
   }
   write_finished_ = true;
--- a/src/libgateway/http_client_connection.h
+++ b/src/libgateway/http_client_connection.h
@@ -83,7 +83,7 @@
   std::array<asio::const_buffer, 2> RequestBytes(std::size_t offset) const;
   void Connect();
   void Write();
-  void OnWritten(const asio::error_code& error, std::size_t bytes);
+  void OnWritten(const asio::error_code& error);
   void WaitRead();
   void OnReadable(const asio::error_code& error);
   bool ParseInput(std::string_view bytes);
