HTTP client: an answer that is cut off within its head is broken

Callers of the product's own interface got the status of a backend server that had closed in the middle of its answer's head, with an empty body that was framed as whole: for status 204, and for 200 with a Content-Length of 0 before the cut.

Cause: libcurl reports success for a connection that closes within the head if no body is expected, and the client asked only whether the end of the body is known.

An answer now counts only if the empty line after its head has arrived. Lines after it are trailers and no longer taken for header lines.

--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -92,6 +92,8 @@
   std::uint32_t send_count_ = 0;
   bool idempotent_ = true;
   bool has_body_framing_ = false;
+  /// libcurl reports no error for a connection that closes within the head if no body is expected.
+  bool head_complete_ = false;
   bool too_large_ = false;
   std::array<char, CURL_ERROR_SIZE> error_{};
 };
@@ -186,6 +188,8 @@
   if (answer.end == HttpEnd::kAnswered) return answer;
   if (too_large_) {
     answer.error = "answer too large";
+  } else if (code == CURLE_OK && !head_complete_) {
+    answer.error = "answer cut off within its head";
   } else if (code == CURLE_OK) {
     answer.error = "answer with neither Content-Length nor chunked encoding";
   } else {
@@ -195,7 +199,9 @@
 }
 
 HttpEnd Exchange::ToHttpEnd(CURLcode code) const {
-  if (code == CURLE_OK) return IsBodyEndKnown() ? HttpEnd::kAnswered : HttpEnd::kBroken;
+  if (code == CURLE_OK) {
+    return head_complete_ && IsBodyEndKnown() ? HttpEnd::kAnswered : HttpEnd::kBroken;
+  }
   if (send_count_ == 0) {
     return code == CURLE_COULDNT_CONNECT ? HttpEnd::kConnectRefused : HttpEnd::kNotSent;
   }
@@ -221,12 +227,16 @@
   head_bytes_ = 0;
   send_count_ = 0;
   has_body_framing_ = false;
+  head_complete_ = false;
   too_large_ = false;
   error_[0] = 0;
 }
 
 void Exchange::OnHeaderLine(std::string_view line) {
   if (line.substr(0, 5) == "HTTP/") return OnStatusLine(line);
+  // Lines after the head are trailers.
+  if (head_complete_) return;
+  head_complete_ = line == "\r\n" || line == "\n";
   OnHeaderField(line);
 }
 
@@ -234,6 +244,7 @@
 void Exchange::OnStatusLine(std::string_view line) {
   answer_.headers.clear();
   has_body_framing_ = false;
+  head_complete_ = false;
   const std::size_t space = line.find(' ');
   if (space == std::string_view::npos) return;
   const std::string_view code = line.substr(space + 1, 3);
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "loopback.h"
 
 namespace mulberry {
@@ -75,6 +77,41 @@
   }
 }
 
+TEST_CASE("an answer that is cut off at any byte is not whole") {
+  asio::io_context io;
+  HttpClient client(io);
+  std::string whole;
+  SUBCASE("with a length") {
+    whole = "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 4\r\nX-B: 2\r\n\r\nbody";
+  }
+  SUBCASE("in chunks") {
+    whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-B: 2\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  }
+  SUBCASE("without a body") {
+    whole = "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\nX-B: 2\r\n\r\n";
+  }
+  SUBCASE("with an empty body") {
+    whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-B: 2\r\n\r\n";
+  }
+  SUBCASE("after an interim answer") {
+    whole = "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" + std::string(kOk);
+  }
+  std::size_t sent = 0;
+  RawServer server(
+      io, [&](int, const std::string&) { return whole.substr(0, sent); }, true);
+  // A body in chunks is whole once the chunk of size zero has arrived.
+  const std::size_t needed = std::min(whole.find("\r\n0\r\n"), whole.size() - 5) + 5;
+  for (sent = 1; sent < needed; ++sent) {
+    CAPTURE(whole.substr(0, sent));
+    for (const bool idempotent : {true, false}) {
+      const HttpAnswer answer = Exchange(io, client, Post(server.url(), "x"), idempotent);
+      CHECK(answer.end == HttpEnd::kBroken);
+    }
+  }
+  sent = whole.size();
+  CHECK(Exchange(io, client, Post(server.url(), "x")).end == HttpEnd::kAnswered);
+}
+
 TEST_CASE("a request without an established connection is not sent") {
   asio::io_context io;
   // A port with a full listen backlog: further handshakes are not completed.
--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -77,13 +77,14 @@
   std::string received_;
 };
 
-/// A server that answers with raw bytes. An empty answer closes the connection after the request.
+/// A server that answers with raw bytes. An empty answer closes the connection after the request,
+/// and so does each answer with `closes`.
 class RawServer {
  public:
   using Answer = std::function<std::string(int connection, const std::string& request)>;
 
-  RawServer(asio::io_context& io, Answer answer)
-      : acceptor_(io, Loopback(0)), answer_(std::move(answer)) {
+  RawServer(asio::io_context& io, Answer answer, bool closes = false)
+      : acceptor_(io, Loopback(0)), answer_(std::move(answer)), closes_(closes) {
     Accept();
   }
 
@@ -123,13 +124,15 @@
           if (answer.empty()) return connection->socket.close();
           asio::error_code ignored;
           connection->socket.write_some(asio::buffer(answer), ignored);
-          if (answer.find("close") != std::string::npos) return connection->socket.close();
+          if (closes_ || answer.find("close") != std::string::npos)
+            return connection->socket.close();
           Read(connection);
         });
   }
 
   asio::ip::tcp::acceptor acceptor_;
   Answer answer_;
+  bool closes_;
   int requests_ = 0;
   int connections_ = 0;
 };
