--- a/tests/gateway/http_client_connection_test.cc
+++ b/tests/gateway/http_client_connection_test.cc
@@ -116,6 +116,36 @@
   CHECK(result->outcome == ExchangeOutcome::kFailedAfterSend);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a response whose connection closes within it is a failure") {
+  std::string whole;
+  SUBCASE("with a length") {
+    whole = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\nX-B: 2\r\n\r\nbody";
+  }
+  SUBCASE("with an empty body") {
+    whole = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\nX-B: 2\r\n\r\n";
+  }
+  SUBCASE("in chunks") {
+    whole =
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  }
+  SUBCASE("without a body") { whole = "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nX-B: 2\r\n\r\n"; }
+  SUBCASE("the head of one without a length") {
+    whole = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n";
+  }
+  SUBCASE("after an interim response") {
+    whole = "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n" + OkResponse("1", "body");
+  }
+  for (std::size_t sent = 0; sent < whole.size(); ++sent) {
+    CAPTURE(whole.substr(0, sent));
+    if (!server.connections.empty()) server.connections.back()->received.clear();
+    Send("1");
+    server.connections.back()->Write(whole.substr(0, sent));
+    server.connections.back()->Close();
+    WaitForResult();
+    CHECK(result->outcome == ExchangeOutcome::kFailedAfterSend);
+  }
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a response without a length is complete when its connection closes normally") {
   Send("1");
