Servers: an entry that can't be a server's own does not move it to another service

Cause: entries by another writer with fields missing (Version, Seq, WarmupLeftMs) were taken, under the id of a sound server; its service was then the one that the entry names, also on the hosts to which the entry was relayed.

--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -193,6 +193,10 @@
   forwarder_.DispatchQueued();
 }
 
+bool GatewayNode::MayBeService(const ServiceName& service) const {
+  return !config_.ready() || config_.config().services.count(service) != 0;
+}
+
 bool GatewayNode::OnServerEntry(const ServerEntry& entry) {
   const TimePoint now = MonotonicClock::now();
   const std::string before = pool_.StateName(entry.id, now);
--- a/src/libgateway/server_history.cc
+++ b/src/libgateway/server_history.cc
@@ -5,19 +5,27 @@
 bool ServerHistory::Accept(const ServerEntry& entry, RecordSource source, StoreEra era) {
   const auto [found, is_new] = servers_.try_emplace(entry.id);
   Known& known = found->second;
-  if (!is_new && IsOlder(entry, known, source, era)) return false;
-  known = {entry.leaving ? State::kLeaving : State::kPresent, entry.started_at_ms, entry.sequence,
+  if (!is_new && MustIgnore(entry, known, source, era)) return false;
+  const bool same_service =
+      !is_new && entry.started_at_ms == known.started_at_ms && entry.service == known.service;
+  known = {entry.leaving ? State::kLeaving : State::kPresent,
+           entry.service,
+           same_service,
+           entry.started_at_ms,
+           entry.sequence,
            era};
   return true;
 }
 
-bool ServerHistory::IsOlder(const ServerEntry& entry, const Known& known, RecordSource source,
-                            StoreEra era) {
+bool ServerHistory::MustIgnore(const ServerEntry& entry, const Known& known, RecordSource source,
+                               StoreEra era) {
   // The newest record of a key after a restore, in place of what was known before it.
   const bool from_copy = source == RecordSource::kNewest && known.era < era;
   if (entry.started_at_ms != known.started_at_ms) {
     return from_copy && entry.started_at_ms < known.started_at_ms;
   }
+  // A server changes its service only with a restart, so this is another writer's entry.
+  if (known.service_confirmed && entry.service != known.service) return true;
   if (known.state == State::kPresent || entry.leaving) return false;
   // Hosts for which others read the store don't know the last sequence number of a server that was
   // removed, so there it proves nothing.
--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -11,16 +11,20 @@
 namespace mulberry::gateway {
 
 /// Remembers which servers have announced that they are leaving or were removed, so that a restored
-/// store, whose entries may be older than that, does not bring them back. Does no I/O. Not thread
+/// store, whose entries may be older than that, does not bring them back, and which service a
+/// server belongs to, so that another writer's entry does not move it. Does no I/O. Not thread
 /// safe.
 class ServerHistory {
  public:
   /// `max_removed`: how many removed servers are remembered; the oldest are forgotten first.
   explicit ServerHistory(std::size_t max_removed) : max_removed_(max_removed) {}
 
-  /// Returns false when the entry is older than what is known and must be ignored. `era`: that of
+  /// Returns false when the entry must be ignored: it is older than what is known, or moves the
+  /// server to another service without a restart. `era`: that of
   /// the store from which the entry comes.
   bool Accept(const ServerEntry& entry, RecordSource source, StoreEra era);
+  /// True when an entry of the server was accepted and the server is remembered.
+  bool Knows(const ServerName& id) const { return servers_.count(id) != 0; }
   /// The server counts as removed since this era.
   void OnRemoved(const ServerName& id, StoreEra era);
 
@@ -30,12 +34,14 @@
   enum class State { kPresent, kLeaving, kRemoved };
   struct Known {
     State state = State::kPresent;
+    ServiceName service;
+    bool service_confirmed = false;  ///< Two entries of this lifetime in a row have named it.
     std::int64_t started_at_ms = 0;
     std::uint64_t sequence = 0;
     StoreEra era;
   };
-  static bool IsOlder(const ServerEntry& entry, const Known& known, RecordSource source,
-                      StoreEra era);
+  static bool MustIgnore(const ServerEntry& entry, const Known& known, RecordSource source,
+                         StoreEra era);
   void ForgetOldest();
 
   std::size_t max_removed_;
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -223,6 +223,11 @@
              {{"key", record.key}, {"error", entry.error().message}});
     return;
   }
+  if (history_.Knows(id) && !events_.MayBeService(entry.value().service)) {
+    LogEvent(LogLevel::kWarning, "invalid_server_entry",
+             {{"key", record.key}, {"error", "unknown service " + entry.value().service.str()}});
+    return;
+  }
   if (!history_.Accept(entry.value(), source, era_)) {
     LogEvent(LogLevel::kInfo, "server_entry_old",
              {{"server", id.str()},
--- a/src/libgateway/store_view.h
+++ b/src/libgateway/store_view.h
@@ -23,6 +23,8 @@
   /// Returns true when the entry changes the known state of the server.
   virtual bool OnServerEntry(const ServerEntry& entry) = 0;
   virtual void OnServerRemoved(const ServerName& id) = 0;
+  /// False when the configuration in force doesn't name the service.
+  virtual bool MayBeService(const ServiceName& service) const = 0;
   /// The store was restored: it is in a newer era, and what was written last may be missing.
   virtual void OnStoreEra(StoreEra era) = 0;
   /// All records of a read, or of the update of another host, have been delivered.
--- a/tests/gateway/server_history_test.cc
+++ b/tests/gateway/server_history_test.cc
@@ -73,6 +73,29 @@
   CHECK(Newest(Entry(1, false, 300), 3));
 }
 
+TEST_CASE_FIXTURE(Fixture, "a server does not change its service within a lifetime") {
+  CHECK(Log(Entry(4)));
+  CHECK(Log(Entry(5)));
+  ServerEntry moved = Entry(6);
+  moved.service = ServiceName("another");
+  CHECK_FALSE(Log(moved));
+  CHECK_FALSE(Newest(moved, 2));
+  Remove(2);
+  CHECK_FALSE(Log(moved, 2));
+  moved.started_at_ms = 200;
+  CHECK(Log(moved, 2));
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "another writer's entry that was read first does not lock the server out") {
+  ServerEntry odd = Entry(9);
+  odd.service = ServiceName("another");
+  CHECK(Newest(odd, 1));
+  CHECK(Log(Entry(4)));
+  CHECK(Log(Entry(5)));
+  CHECK_FALSE(Log(odd));
+}
+
 TEST_CASE_FIXTURE(Fixture, "only a number of removed servers is remembered") {
   for (int i = 0; i < 10; ++i) {
     ServerEntry entry = Entry(1);
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -134,6 +134,29 @@
   CHECK(error.error().message.size() < 200);
 }
 
+TEST_CASE("a server entry that lacks a field, or has one of another type, is rejected") {
+  const auto adapter = MakeAdapter();
+  for (const std::string name :
+       {"Service", "Address", "Zone", "Version", "Slots", "State", "WarmupLeftMs", "Seq"}) {
+    CAPTURE(name);
+    for (const std::string& value : {std::string(), std::string("null"), std::string("[]"),
+                                     std::string("true"), std::string("-1"), std::string("{}")}) {
+      CAPTURE(value);
+      std::string text = kServer;
+      const std::size_t begin = text.find("\"" + name + "\":");
+      const std::size_t end = text.find(',', begin) + 1;
+      text.replace(begin, end - begin, value.empty() ? "" : "\"" + name + "\":" + value + ",");
+      CHECK_FALSE(adapter->ParseServer({"i-1", text}).has_value());
+    }
+  }
+  for (const std::string born : {"1.5", "\"1700000000123\"", "-1", "[]"}) {
+    CAPTURE(born);
+    std::string text = kServer;
+    text.replace(text.find("1700000000123"), 13, born);
+    CHECK_FALSE(adapter->ParseServer({"i-1", text}).has_value());
+  }
+}
+
 TEST_CASE("deeply nested and oversized values in a server entry do no harm") {
   const auto adapter = MakeAdapter();
   constexpr std::size_t kLevels = 130'000;
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -55,6 +55,9 @@
     store.Put("keyed.servers", "odd-" + address, EntryText("s", address));
     store.Put("keyed.servers", "i-1", EntryText("s", address));
   }
+  std::string restarted = EntryText("elsewhere", "127.0.0.1:1");
+  restarted.replace(restarted.find("1700000000123"), 13, "1700000009999");
+  store.Put("keyed.servers", "i-1", restarted);
   store.Put("keyed.servers", "nested", std::string(100'000, '['));
   store.Put("keyed.servers", "long", EntryText("s", std::string(12'000, '1')));
   store.Put("keyed.servers", "i-3", EntryText("s", Open(third_server)));
