Servers: a late entry of an earlier lifetime does not replace a later one

Cause: ServerHistory compared the start times of two lifetimes only for entries read after a restore. A heartbeat of the former lifetime that the store executed late took the server back into use on every host.

An entry with an earlier start is now ignored until ten seconds after the later lifetime was last heard of; the store executes a write some seconds late at most. An earlier start that is still there then is that of a server whose clock was set back, which would otherwise never be used again. Configurations have a version that never decreases; the records of data centres have nothing that tells an old one from a new one, so there the store's last word holds.

--- a/src/libgateway/server_history.cc
+++ b/src/libgateway/server_history.cc
@@ -1,11 +1,19 @@
 #include "libgateway/server_history.h"
 
 namespace mulberry::gateway {
+namespace {
 
-bool ServerHistory::Accept(const ServerEntry& entry, RecordSource source, StoreEra era) {
+/// The store may execute a server's write some seconds after the server has sent it. An earlier
+/// start time that is still there later is that of a server whose clock was set back.
+constexpr Duration kMaxLateWrite = std::chrono::seconds(10);
+
+}  // namespace
+
+bool ServerHistory::Accept(const ServerEntry& entry, RecordSource source, StoreEra era,
+                           TimePoint now) {
   const auto [found, is_new] = servers_.try_emplace(entry.id);
   Known& known = found->second;
-  if (!is_new && MustIgnore(entry, known, source, era)) return false;
+  if (!is_new && MustIgnore(entry, known, source, era, now)) return false;
   const bool same_service =
       !is_new && entry.started_at_ms == known.started_at_ms && entry.service == known.service;
   known = {entry.leaving ? State::kLeaving : State::kPresent,
@@ -13,16 +21,18 @@
            same_service,
            entry.started_at_ms,
            entry.sequence,
-           era};
+           era,
+           now};
   return true;
 }
 
 bool ServerHistory::MustIgnore(const ServerEntry& entry, const Known& known, RecordSource source,
-                               StoreEra era) {
+                               StoreEra era, TimePoint now) {
   // The newest record of a key after a restore, in place of what was known before it.
   const bool from_copy = source == RecordSource::kNewest && known.era < era;
   if (entry.started_at_ms != known.started_at_ms) {
-    return from_copy && entry.started_at_ms < known.started_at_ms;
+    const bool is_earlier = entry.started_at_ms < known.started_at_ms;
+    return is_earlier && (from_copy || now - known.heard_at < kMaxLateWrite);
   }
   // A server changes its service only with a restart, so this is another writer's entry.
   if (known.service_confirmed && entry.service != known.service) return true;
@@ -35,11 +45,12 @@
   return entry.sequence < known.sequence;
 }
 
-void ServerHistory::OnRemoved(const ServerName& id, StoreEra era) {
+void ServerHistory::OnRemoved(const ServerName& id, StoreEra era, TimePoint now) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || found->second.state == State::kRemoved) return;
   found->second.state = State::kRemoved;
   found->second.era = era;
+  found->second.heard_at = now;
   removed_.push_back(id);
   while (removed_.size() > max_removed_) ForgetOldest();
 }
--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -22,11 +22,11 @@
   /// Returns false when the entry must be ignored: it is older than what is known, or moves the
   /// server to another service without a restart. `era`: that of
   /// the store from which the entry comes.
-  bool Accept(const ServerEntry& entry, RecordSource source, StoreEra era);
+  bool Accept(const ServerEntry& entry, RecordSource source, StoreEra era, TimePoint now);
   /// True when an entry of the server was accepted and the server is remembered.
   bool Knows(const ServerName& id) const { return servers_.count(id) != 0; }
   /// The server counts as removed since this era.
-  void OnRemoved(const ServerName& id, StoreEra era);
+  void OnRemoved(const ServerName& id, StoreEra era, TimePoint now);
 
   std::size_t size() const { return servers_.size(); }
 
@@ -39,9 +39,10 @@
     std::int64_t started_at_ms = 0;
     std::uint64_t sequence = 0;
     StoreEra era;
+    TimePoint heard_at;  ///< When this lifetime was last heard of.
   };
   static bool MustIgnore(const ServerEntry& entry, const Known& known, RecordSource source,
-                         StoreEra era);
+                         StoreEra era, TimePoint now);
   void ForgetOldest();
 
   std::size_t max_removed_;
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -203,7 +203,7 @@
 }
 
 void StoreView::RemoveServer(const ServerName& id) {
-  history_.OnRemoved(id, era_);
+  history_.OnRemoved(id, era_, MonotonicClock::now());
   events_.OnServerRemoved(id);
 }
 
@@ -228,7 +228,7 @@
              {{"key", record.key}, {"error", "unknown service " + entry.value().service.str()}});
     return;
   }
-  if (!history_.Accept(entry.value(), source, era_)) {
+  if (!history_.Accept(entry.value(), source, era_, MonotonicClock::now())) {
     LogEvent(LogLevel::kInfo, "server_entry_old",
              {{"server", id.str()},
               {"era", era_.value()},
--- a/tests/gateway/server_history_test.cc
+++ b/tests/gateway/server_history_test.cc
@@ -18,13 +18,14 @@
 
 struct Fixture {
   bool Log(const ServerEntry& entry, std::uint64_t era = 1) {
-    return history.Accept(entry, RecordSource::kLog, StoreEra(era));
+    return history.Accept(entry, RecordSource::kLog, StoreEra(era), now);
   }
   bool Newest(const ServerEntry& entry, std::uint64_t era) {
-    return history.Accept(entry, RecordSource::kNewest, StoreEra(era));
+    return history.Accept(entry, RecordSource::kNewest, StoreEra(era), now);
   }
-  void Remove(std::uint64_t era = 1) { history.OnRemoved(ServerName("a"), StoreEra(era)); }
+  void Remove(std::uint64_t era = 1) { history.OnRemoved(ServerName("a"), StoreEra(era), now); }
   ServerHistory history{4};
+  TimePoint now = TimePoint(std::chrono::seconds(100));
 };
 
 TEST_CASE_FIXTURE(Fixture, "a server that serves may have any entry") {
@@ -73,6 +74,28 @@
   CHECK(Newest(Entry(1, false, 300), 3));
 }
 
+TEST_CASE_FIXTURE(Fixture, "a late entry of an earlier lifetime does not replace a later one") {
+  CHECK(Log(Entry(5)));
+  CHECK(Log(Entry(1, false, 200)));
+  now += std::chrono::seconds(3);
+  SUBCASE("that serves") {}
+  SUBCASE("that is leaving") { CHECK(Log(Entry(2, true, 200))); }
+  SUBCASE("that was removed") { Remove(); }
+  now += std::chrono::seconds(6);
+  CHECK_FALSE(Log(Entry(6, false, 100)));
+  CHECK_FALSE(Newest(Entry(6, false, 100), 1));
+  CHECK(Log(Entry(3, true, 200)));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a server whose clock was set back is used again after its restart") {
+  CHECK(Log(Entry(5)));
+  now += std::chrono::seconds(5);
+  Remove();
+  CHECK_FALSE(Log(Entry(1, false, 50)));
+  now += std::chrono::seconds(11);
+  CHECK(Log(Entry(8, false, 50)));
+}
+
 TEST_CASE_FIXTURE(Fixture, "a server does not change its service within a lifetime") {
   CHECK(Log(Entry(4)));
   CHECK(Log(Entry(5)));
@@ -101,7 +124,7 @@
     ServerEntry entry = Entry(1);
     entry.id = ServerName("s" + std::to_string(i));
     CHECK(Log(entry));
-    history.OnRemoved(entry.id, StoreEra(1));
+    history.OnRemoved(entry.id, StoreEra(1), now);
   }
   CHECK(history.size() == 4);
   CHECK(Log(Entry(1)));
