Gateway: freed bodies go back to the system

Cause: 40% of the memory is budgeted for bodies, on the assumption that a body takes up to twice its size while it grows. glibc raises the size from which a block is mapped by itself to 32 MB once such a block is freed. After that, the sizes through which a body grows come from the heap and are not given back, on top of those two copies.

The gateway now fixes that threshold at 128 KB, so a body holds at most its old and its new block.

--- a/src/mulberryd/main.cc
+++ b/src/mulberryd/main.cc
@@ -1,6 +1,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <malloc.h>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -102,7 +103,16 @@
   return 0;
 }
 
+/// Makes free() return large blocks to the system at once. By default, glibc keeps blocks of up to
+/// 32 MB after the first one was freed, in a heap that grows with each size a body passes through.
+void ReturnFreedBodies() {
+  constexpr int kLargeBlockBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, 2 * kLargeBlockBytes);
+}
+
 int GatewayMain(const std::string& file) {
+  ReturnFreedBodies();
   asio::io_context io(1);
   // Registered before the settings are read: a SIGHUP during startup is then neither lost nor
   // terminates the process.
