Gateway: a server that says in a response that it is leaving gets no more requests

Hosts knew of it only from the store, some seconds later or, while the store is away, not at all, and requests reached such a server later than DrainMs after this host had passed on one of its responses.

An answer, a failure, a refusal or a health response with that header takes the server out of use on this host at once, for the rest of its lifetime, also if its entry says ready again or lapses and comes back. Other hosts learn of it from the store or their own responses, as before; nothing is sent between hosts for it.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -287,6 +287,7 @@
   links_.Release(attempt.address, attempt.link);
   deps_.pool.OnEnd(attempt.server, end, attempt.context, now);
   RecordLoadReport(attempt.server, end, answer.response, now);
+  RecordLeaving(attempt.server, end, answer.response);
   deps_.metrics.OnAttempt(AttemptOutcomeName(end), now - attempt.context.sent);
   --call->state.running;
   if (!ProvesNotRun(end) && end != AttemptOutcome::kAnswered) call->state.may_have_run = true;
@@ -330,6 +331,14 @@
   reported_.insert(server);
 }
 
+void Forwarder::RecordLeaving(const ServerName& server, AttemptOutcome end,
+                              const HttpMessage& message) {
+  const bool from_server = end == AttemptOutcome::kAnswered ||
+                           end == AttemptOutcome::kServerFailure || end == AttemptOutcome::kShed;
+  const std::string* leaving = FindHeader(message.headers, deps_.adapter.headers().leaving);
+  if (from_server && leaving != nullptr && *leaving == "1") deps_.pool.OnLeavingAnnounced(server);
+}
+
 void Forwarder::HandleAttemptEnd(Call& call, AttemptOutcome end, HttpMessage& message,
                                  const Attempt& attempt, TimePoint now) {
   switch (DecideNextStep(call.state, end)) {
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -109,6 +109,7 @@
                          const ExchangeResult& answer, TimePoint now) const;
   void RecordLoadReport(const ServerName& server, AttemptOutcome end, const HttpMessage& message,
                         TimePoint now);
+  void RecordLeaving(const ServerName& server, AttemptOutcome end, const HttpMessage& message);
   void HandleAttemptEnd(Call& call, AttemptOutcome end, HttpMessage& message,
                         const Attempt& attempt, TimePoint now);
   void Relay(Call& call, HttpMessage& message, const Attempt& attempt, TimePoint now);
--- a/src/libgateway/health_checker.cc
+++ b/src/libgateway/health_checker.cc
@@ -74,6 +74,7 @@
   }
   metrics_.OnHealthCheck("answered");
   pool_.OnHealthCheckEnd(target.id, true, now);
+  if (report.leaving) pool_.OnLeavingAnnounced(target.id);
   pool_.OnColdTimeLeft(target.id, report.cold_time_left, now);
   if (!report.load) return;
   pool_.OnLoadReport(target.id, *report.load, now);
--- a/src/libgateway/platform_adapter.h
+++ b/src/libgateway/platform_adapter.h
@@ -20,6 +20,7 @@
   std::string not_run;           ///< Present if the server did not run the request.
   std::string server_signature;  ///< Present in responses that the server itself produced.
   std::string load;              ///< A server's load report.
+  std::string leaving;           ///< "1" in all responses of a server that is leaving.
 };
 
 /// Topics of the store that a gateway follows.
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -25,6 +25,8 @@
 constexpr double kMinSlowness = 0.1;
 /// No health checks are sent to a service that was not requested within this time.
 constexpr Duration kHealthCheckAfterRequest = std::chrono::seconds(1);
+/// More servers than leave within the time for which their entries may come back.
+constexpr std::size_t kMaxAnnouncedLeaving = 4096;
 /// Upper bound of a server's latency relative to its service, to limit outliers.
 constexpr double kMaxRelativeLatency = 20;
 
@@ -88,6 +90,12 @@
                        server.entry.data_centre != entry.data_centre ||
                        entry.cold_time_left > Duration::zero();
   server.entry = entry;
+  const auto announced = announced_leaving_.find(entry.id);
+  server.leaving_announced =
+      announced != announced_leaving_.end() && announced->second == entry.started_at_ms;
+  if (announced != announced_leaving_.end() && !server.leaving_announced) {
+    announced_leaving_.erase(announced);
+  }
   if (restarted) {
     server.health = ServerHealth(kHealthLimits);
     server.relative_latency = 1;
@@ -265,6 +273,15 @@
   MarkCold(server, now);
 }
 
+void ServerPool::OnLeavingAnnounced(const ServerName& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || found->second.leaving_announced) return;
+  found->second.leaving_announced = true;
+  if (announced_leaving_.size() >= kMaxAnnouncedLeaving) announced_leaving_.clear();
+  announced_leaving_[id] = found->second.entry.started_at_ms;
+  LogEvent(LogLevel::kInfo, "server_leaving_announced", {{"server", id.str()}});
+}
+
 void ServerPool::OnColdTimeLeft(const ServerName& id, Duration left, TimePoint now) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || left <= Duration::zero()) return;
@@ -308,7 +325,7 @@
   const auto found = servers_.find(id);
   if (found == servers_.end()) return "unknown";
   const Server& server = found->second;
-  if (server.entry.leaving) return "leaving";
+  if (server.entry.leaving || server.leaving_announced) return "leaving";
   if (data_centres_out_.count(server.entry.data_centre) != 0) return "out";
   if (server.health.StateAt(now) != ServerHealth::State::kHealthy) return "ejected";
   return now < server.cold_until ? "cold" : "warm";
@@ -356,7 +373,10 @@
 }
 
 bool ServerPool::IsUsable(const Server& server, TimePoint now) const {
-  if (server.entry.leaving || data_centres_out_.count(server.entry.data_centre) != 0) return false;
+  if (server.entry.leaving || server.leaving_announced ||
+      data_centres_out_.count(server.entry.data_centre) != 0) {
+    return false;
+  }
   switch (server.health.StateAt(now)) {
     case ServerHealth::State::kHealthy:
       return true;
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -140,6 +140,9 @@
   /// Records the end of a health check by this host. Only a missing answer counts against the
   /// server: the health that it states can be wrong.
   void OnHealthCheckEnd(const ServerName& id, bool answered, TimePoint now);
+  /// Records the server's own statement that it is leaving. It gets no more requests from this host
+  /// until it has restarted, whatever its entries say.
+  void OnLeavingAnnounced(const ServerName& id);
   /// Records the server's own statement of how much longer it stays cold.
   void OnColdTimeLeft(const ServerName& id, Duration left, TimePoint now);
 
@@ -183,6 +186,7 @@
     TimePoint unreachable_since = TimePoint::max();  ///< max(): reachable.
     std::uint32_t unanswered_health_checks = 0;
     std::deque<TimePoint> cold_sends;
+    bool leaving_announced = false;
     double relative_latency = 1;  ///< Answer time as a multiple of the service's mean.
   };
   struct ServiceState {
@@ -213,6 +217,9 @@
   std::map<ServiceName, std::vector<ServerName>> by_service_;
   std::map<ServiceName, ServiceState> services_;
   std::set<DataCentreName> data_centres_out_;
+  /// Start times of the servers that have announced their leaving. Outlives their entries, which
+  /// may lapse and come back.
+  std::map<ServerName, std::int64_t> announced_leaving_;
   double cold_share_ = 0;
   std::minstd_rand random_;
 };
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -110,6 +110,7 @@
   ServerName id;
   Duration cold_time_left{};
   std::optional<LoadReport> load;
+  bool leaving = false;
 };
 
 /// A change that operators publish in the store: a configuration, or taking a data centre out of
--- a/tests/gateway/fake_adapter.h
+++ b/tests/gateway/fake_adapter.h
@@ -47,7 +47,8 @@
                      .target_server = "Target",
                      .not_run = "Not-Run",
                      .server_signature = "Signature",
-                     .load = "Load"};
+                     .load = "Load",
+                     .leaving = "Leaving"};
 };
 
 }  // namespace mulberry::gateway
--- a/tests/gateway/server_pool_test.cc
+++ b/tests/gateway/server_pool_test.cc
@@ -140,6 +140,20 @@
   CHECK(pool.StateName(id, now) == "cold");
 }
 
+TEST_CASE_FIXTURE(Fixture, "a server that has announced its leaving is not used again") {
+  pool.Put(Entry("a"), now);
+  pool.OnLeavingAnnounced(ServerName("a"));
+  CHECK_FALSE(SelectedServer().has_value());
+  SUBCASE("its entry says ready") {}
+  SUBCASE("its entry lapses and comes back") { pool.Remove(ServerName("a")); }
+  pool.Put(Entry("a"), now);
+  CHECK_FALSE(SelectedServer().has_value());
+  ServerEntry restarted = Entry("a");
+  restarted.started_at_ms = 2;
+  pool.Put(restarted, now);
+  CHECK(SelectedServer() == ServerName("a"));
+}
+
 TEST_CASE_FIXTURE(Fixture, "ejected servers return to a service without idempotent requests") {
   for (const std::string id : {"a", "b"}) {
     pool.Put(Entry(id), now);
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -225,6 +225,13 @@
   CHECK(health_report.load->slowness == 5);
 }
 
+TEST_CASE("a health response says whether the server is leaving") {
+  const auto adapter = MakeAdapter();
+  CHECK(adapter->ParseHealth(503, {{"server-leaving", "1"}}).leaving);
+  CHECK_FALSE(adapter->ParseHealth(200, {{"Server-Leaving", "0"}}).leaving);
+  CHECK_FALSE(adapter->ParseHealth(503, {}).leaving);
+}
+
 TEST_CASE("a host record is decoded as it was encoded") {
   const auto adapter = MakeAdapter();
   gateway::HostRecord record{HostName("h-1"), DataCentreName("z"), "10.0.0.1:7720"};
--- a/tests/platform/fake_backend_server.h
+++ b/tests/platform/fake_backend_server.h
@@ -21,6 +21,7 @@
   kDropsResponses,  ///< Runs them and never responds.
   kFailing,         ///< Runs them and responds with status 500.
   kDisconnects,     ///< Runs them and closes the connection without their response.
+  kRefusing,        ///< Refuses them without running them.
   kRepeatsRefusal   ///< Runs them and writes a part of an earlier refusal before each response.
 };
 
@@ -42,6 +43,8 @@
   void SetMode(BackendMode mode) { mode_ = mode; }
   BackendMode mode() const { return mode_; }
   void SetServiceTime(std::chrono::milliseconds service_time) { service_time_ = service_time; }
+  /// Header lines that all responses have from now on.
+  void SetExtraHeaders(std::string lines) { extra_headers_ = std::move(lines); }
   /// How often each request id was run.
   const std::map<std::string, int>& runs() const { return run_counts_; }
   /// When the last request arrived, not counting health checks.
@@ -51,9 +54,10 @@
                  TimePoint arrived) override {
     const std::string load = std::to_string(running_) + ",0,8,100";
     if (request.target == "/health") {
-      server_.Respond(
-          exchange,
-          "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id_ + "\r\nX-Backend-Load: " + load + "\r\n", "");
+      server_.Respond(exchange,
+                      "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id_ + "\r\nX-Backend-Load: " + load +
+                          "\r\n" + extra_headers_,
+                      "");
       return;
     }
     const std::string* target = gateway::FindHeader(request.headers, "X-Target-Instance");
@@ -63,6 +67,13 @@
       return;
     }
     last_arrival_ = arrived;
+    if (mode_ == BackendMode::kRefusing) {
+      server_.Respond(exchange,
+                      "HTTP/1.1 503 -\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
+                          (id == nullptr ? "" : *id) + "\r\n" + extra_headers_,
+                      "");
+      return;
+    }
     const std::string request_id = id == nullptr ? "" : *id;
     ++run_counts_[request_id];
     ++running_;
@@ -95,13 +106,14 @@
                     RepeatedBytes(request_id) + "HTTP/1.1 " + std::to_string(status) +
                         " -\r\nX-Request-Id: " + request_id + "\r\nX-Response-Signature: " + id_ +
                         "." + request_id + "\r\nX-Backend-Load: " + std::to_string(running_) +
-                        ",0,8,100\r\n",
+                        ",0,8,100\r\n" + extra_headers_,
                     service_ + ":" + request_id);
   }
 
   asio::io_context& io_;
   std::string id_;
   std::string service_;
+  std::string extra_headers_;
   BackendMode mode_ = BackendMode::kServing;
   std::chrono::milliseconds service_time_{5};
   std::uint32_t running_ = 0;
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -103,6 +103,30 @@
   CHECK(leaving.last_arrival() < left);
 }
 
+TEST_CASE_FIXTURE(NodeFixture,
+                  "a server that says in a response that it is leaving gets no more requests") {
+  FakeBackendServer leaving(io, "i-3", "s");
+  const std::string address = Open(leaving);
+  store.Put("keyed.servers", "i-1", std::nullopt);
+  store.Put("keyed.servers", "i-3", EntryText("s", address));
+  AddNode();
+  REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
+  SUBCASE("in an answer") {}
+  SUBCASE("in a failure") { leaving.SetMode(BackendMode::kFailing); }
+  SUBCASE("in a refusal") { leaving.SetMode(BackendMode::kRefusing); }
+  leaving.SetExtraHeaders("Server-Leaving: 1\r\n");
+  Get(settings[0].callers, "/read/x");
+  const TimePoint passed_on = MonotonicClock::now();
+  leaving.SetMode(BackendMode::kServing);
+  for (int i = 0; i < 10; ++i) {
+    // Its entry still says that it is ready.
+    if (i == 3) store.Put("keyed.servers", "i-3", EntryText("s", address));
+    CHECK(Get(settings[0].callers, "/read/x").starts_with("HTTP/1.1 503"));
+    RunFor(io, milliseconds(50));
+  }
+  CHECK(leaving.last_arrival() < passed_on);
+}
+
 TEST_CASE_FIXTURE(NodeFixture, "a node recovers after the store has dropped responses") {
   AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
