Gateway: a server that refuses with Retry-After gets no request before that time

The header was ignored, so that the next request could go there at once.

The pool leaves such a server out of selection and health checks until the time is over, five minutes at most; a restart ends it. Where only such servers are left, a request is refused at once with the time until the first of them may be used again. A value that is no number of seconds is logged and changes nothing.

Not shown: how the others fare when half of a service asks for it again and again.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -34,6 +34,9 @@
 /// requests, take about this long.
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(200);
 
+/// Bytes of an unusable header that are logged.
+constexpr std::size_t kMaxLoggedHeader = 64;
+
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
@@ -185,6 +188,11 @@
     FailCall(call, FailureCause::kOther, call.last_wait_reason, RetryAfterFor(call, now), now);
     return;
   }
+  if (reason == NoServerReason::kAllPaused) {
+    FailCall(call, FailureCause::kOther, call.last_wait_reason,
+             deps_.pool.FirstPauseEnd(call.service, now) - now, now);
+    return;
+  }
   if (!call.queued) {
     const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
     call.queued = queues_[call.service].TryEnqueue(ToQueuedCall(call), usual_time, now);
@@ -288,6 +296,7 @@
   deps_.pool.OnEnd(attempt.server, end, attempt.context, now);
   RecordLoadReport(attempt.server, end, answer.response, now);
   RecordLeaving(attempt.server, end, answer.response);
+  RecordPause(attempt.server, end, answer.response, now);
   deps_.metrics.OnAttempt(AttemptOutcomeName(end), now - attempt.context.sent);
   --call->state.running;
   if (!ProvesNotRun(end) && end != AttemptOutcome::kAnswered) call->state.may_have_run = true;
@@ -339,6 +348,20 @@
   if (from_server && leaving != nullptr && *leaving == "1") deps_.pool.OnLeavingAnnounced(server);
 }
 
+void Forwarder::RecordPause(const ServerName& server, AttemptOutcome end,
+                            const HttpMessage& message, TimePoint now) {
+  const bool refused = (end == AttemptOutcome::kShed || end == AttemptOutcome::kServerFailure) &&
+                       message.status == kStatusUnavailable;
+  const std::string* retry_after = FindHeader(message.headers, "retry-after");
+  if (!refused || retry_after == nullptr) return;
+  if (const auto pause = ParseRetryAfter(*retry_after)) {
+    deps_.pool.OnPauseRequested(server, *pause, now);
+    return;
+  }
+  LogEvent(LogLevel::kWarning, "retry_after_unusable",
+           {{"server", server.str()}, {"value", retry_after->substr(0, kMaxLoggedHeader)}});
+}
+
 void Forwarder::HandleAttemptEnd(Call& call, AttemptOutcome end, HttpMessage& message,
                                  const Attempt& attempt, TimePoint now) {
   switch (DecideNextStep(call.state, end)) {
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -110,6 +110,8 @@
   void RecordLoadReport(const ServerName& server, AttemptOutcome end, const HttpMessage& message,
                         TimePoint now);
   void RecordLeaving(const ServerName& server, AttemptOutcome end, const HttpMessage& message);
+  void RecordPause(const ServerName& server, AttemptOutcome end, const HttpMessage& message,
+                   TimePoint now);
   void HandleAttemptEnd(Call& call, AttemptOutcome end, HttpMessage& message,
                         const Attempt& attempt, TimePoint now);
   void Relay(Call& call, HttpMessage& message, const Attempt& attempt, TimePoint now);
--- a/src/libgateway/http_message.cc
+++ b/src/libgateway/http_message.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 
 #include "libbase/base.h"
 
@@ -21,6 +23,17 @@
   return nullptr;
 }
 
+std::optional<Duration> ParseRetryAfter(std::string_view value) {
+  constexpr double kMaxSeconds = 1e9;  // More does not fit into a time point.
+  double seconds = 0;
+  const char* end = value.data() + value.size();
+  const auto parsed = std::from_chars(value.data(), end, seconds, std::chars_format::fixed);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  if (!std::isfinite(seconds) || seconds < 0) return std::nullopt;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(seconds, kMaxSeconds)));
+}
+
 bool IsConnectionHeader(std::string_view name, std::string_view connection) {
   const bool is_fixed =
       std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
--- a/src/libgateway/http_message.h
+++ b/src/libgateway/http_message.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "libbase/base.h"
 #include "libgateway/memory_budget.h"
 
 namespace mulberry::gateway {
@@ -33,6 +35,10 @@
 /// header.
 bool IsConnectionHeader(std::string_view name, std::string_view connection);
 
+/// Parses the seconds, with or without a fraction, of a Retry-After header. Empty for a date, a
+/// negative number or anything else.
+std::optional<Duration> ParseRetryAfter(std::string_view value);
+
 /// Appends the header line "name: value".
 void AppendHeader(std::string& out, std::string_view name, std::string_view value);
 
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -25,6 +25,8 @@
 constexpr double kMinSlowness = 0.1;
 /// No health checks are sent to a service that was not requested within this time.
 constexpr Duration kHealthCheckAfterRequest = std::chrono::seconds(1);
+/// A server that asks for a longer pause is tried again after this time.
+constexpr Duration kMaxPause = std::chrono::minutes(5);
 /// More servers than leave within the time for which their entries may come back.
 constexpr std::size_t kMaxAnnouncedLeaving = 4096;
 /// Upper bound of a server's latency relative to its service, to limit outliers.
@@ -63,6 +65,8 @@
       return "all_busy";
     case NoServerReason::kAllCold:
       return "all_cold";
+    case NoServerReason::kAllPaused:
+      return "all_paused";
   }
   return "unknown";
 }
@@ -97,6 +101,7 @@
     announced_leaving_.erase(announced);
   }
   if (restarted) {
+    server.paused_until = TimePoint();
     server.health = ServerHealth(kHealthLimits);
     server.relative_latency = 1;
     MarkCold(server, now);
@@ -137,6 +142,10 @@
   for (const ServerName& id : by_service_[request.service]) {
     Server& server = servers_.at(id);
     if (request.tried.count(id) != 0 || !IsUsable(server, now)) continue;
+    if (now < server.paused_until) {
+      if (reason == NoServerReason::kNoServer) reason = NoServerReason::kAllPaused;
+      continue;
+    }
     const bool in_trial = server.health.StateAt(now) == ServerHealth::State::kTrial;
     if (in_trial && !request.idempotent && now < server.health.TrialTime() + kIdempotentTrialTime) {
       continue;
@@ -148,7 +157,7 @@
       continue;
     }
     if (!HasColdCapacity(server, state.service, now)) {
-      if (reason == NoServerReason::kNoServer) reason = NoServerReason::kAllCold;
+      if (reason != NoServerReason::kAllBusy) reason = NoServerReason::kAllCold;
       continue;
     }
     const Duration expected = ExpectedLatency(server, state, now);
@@ -282,6 +291,31 @@
   LogEvent(LogLevel::kInfo, "server_leaving_announced", {{"server", id.str()}});
 }
 
+void ServerPool::OnPauseRequested(const ServerName& id, Duration pause, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  const Duration bounded = std::min(pause, kMaxPause);
+  LogEvent(LogLevel::kInfo, "server_paused",
+           {{"server", id.str()},
+            {"asked_ms", ToMilliseconds(pause)},
+            {"paused_ms", ToMilliseconds(bounded)}});
+  server.paused_until = std::max(server.paused_until, now + bounded);
+}
+
+TimePoint ServerPool::FirstPauseEnd(const ServiceName& service, TimePoint now) const {
+  TimePoint first = TimePoint::max();
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return now;
+  for (const ServerName& id : found->second) {
+    const Server& server = servers_.at(id);
+    if (server.paused_until > now && IsUsable(server, now)) {
+      first = std::min(first, server.paused_until);
+    }
+  }
+  return first == TimePoint::max() ? now : first;
+}
+
 void ServerPool::OnColdTimeLeft(const ServerName& id, Duration left, TimePoint now) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || left <= Duration::zero()) return;
@@ -300,7 +334,7 @@
   if (share.count == 0) return due;
   for (const auto& [id, server] : servers_) {
     if (server.entry.data_centre != options_.data_centre || !IsUsable(server, now)) continue;
-    if (now - server.report_time <= share.max_age) continue;
+    if (now - server.report_time <= share.max_age || now < server.paused_until) continue;
     const auto service = services_.find(server.entry.service);
     if (service == services_.end() || service->second.service.health_path.empty()) continue;
     if (now - service->second.last_requested > kHealthCheckAfterRequest) continue;
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -94,7 +94,12 @@
 };
 
 /// Why no server could be selected.
-enum class NoServerReason { kNoServer, kAllBusy, kAllCold };
+enum class NoServerReason {
+  kNoServer,
+  kAllBusy,
+  kAllCold,
+  kAllPaused,  ///< The servers that could be used have asked for no requests for a time.
+};
 
 /// Returns the snake_case name, for logs and metrics.
 const char* NoServerReasonName(NoServerReason reason);
@@ -143,6 +148,11 @@
   /// Records the server's own statement that it is leaving. It gets no more requests from this host
   /// until it has restarted, whatever its entries say.
   void OnLeavingAnnounced(const ServerName& id);
+  /// The server has asked for no requests for a time; a longer one that it asked for before holds.
+  void OnPauseRequested(const ServerName& id, Duration pause, TimePoint now);
+  /// When the first of the service's servers that asked for a pause may be used again; `now` when
+  /// there is none.
+  TimePoint FirstPauseEnd(const ServiceName& service, TimePoint now) const;
   /// Records the server's own statement of how much longer it stays cold.
   void OnColdTimeLeft(const ServerName& id, Duration left, TimePoint now);
 
@@ -187,6 +197,7 @@
     std::uint32_t unanswered_health_checks = 0;
     std::deque<TimePoint> cold_sends;
     bool leaving_announced = false;
+    TimePoint paused_until;
     double relative_latency = 1;  ///< Answer time as a multiple of the service's mean.
   };
   struct ServiceState {
--- a/tests/gateway/http_reader_test.cc
+++ b/tests/gateway/http_reader_test.cc
@@ -79,6 +79,17 @@
   CHECK(cut.error() == ReadError::kMalformed);
 }
 
+TEST_CASE("Retry-After is a number of seconds and nothing else") {
+  CHECK(ParseRetryAfter("0") == Duration::zero());
+  CHECK(ParseRetryAfter("1.5") == std::chrono::milliseconds(1500));
+  CHECK(ParseRetryAfter("99999999999999999999") == std::chrono::seconds(1'000'000'000));
+  for (const char* value :
+       {"", "-1", "nan", "inf", "1e3", "soon", "1 s", "1;", "Sat, 05 Dec 2026 07:00:00 GMT"}) {
+    CAPTURE(value);
+    CHECK_FALSE(ParseRetryAfter(value).has_value());
+  }
+}
+
 TEST_CASE("the response to HEAD has no body regardless of its length header") {
   HttpReader reader(HttpReader::Kind::kResponse, kLimits);
   reader.ExpectNoBody(true);
--- a/tests/gateway/server_pool_test.cc
+++ b/tests/gateway/server_pool_test.cc
@@ -154,6 +154,26 @@
   CHECK(SelectedServer() == ServerName("a"));
 }
 
+TEST_CASE_FIXTURE(Fixture,
+                  "a server that asks for a pause gets neither requests nor health checks") {
+  pool.Put(Entry("a"), now);
+  pool.Put(Entry("b"), now);
+  const HealthCheckShare all{.index = 0, .count = 1, .max_age = milliseconds(60)};
+  pool.OnPauseRequested(ServerName("a"), seconds(2), now);
+  pool.OnPauseRequested(ServerName("a"), milliseconds(100), now);
+  now += milliseconds(1900);
+  CHECK(SelectedServer() == ServerName("b"));
+  CHECK(pool.DueHealthChecks(all, now).size() == 1);
+  const auto choice = pool.Select({search_service, {ServerName("b")}, true, false}, now);
+  CHECK(std::get<NoServerReason>(choice) == NoServerReason::kAllPaused);
+  CHECK(pool.FirstPauseEnd(search_service, now) == now + milliseconds(100));
+  now += milliseconds(100);
+  CHECK(SelectedServer({ServerName("b")}) == ServerName("a"));
+  pool.OnPauseRequested(ServerName("a"), std::chrono::hours(24 * 365), now);
+  now += std::chrono::minutes(6);
+  CHECK(SelectedServer({ServerName("b")}) == ServerName("a"));
+}
+
 TEST_CASE_FIXTURE(Fixture, "ejected servers return to a service without idempotent requests") {
   for (const std::string id : {"a", "b"}) {
     pool.Put(Entry(id), now);
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -127,6 +127,50 @@
   CHECK(leaving.last_arrival() < passed_on);
 }
 
+TEST_CASE_FIXTURE(NodeFixture,
+                  "a server that refuses with Retry-After gets no request before that time") {
+  FakeBackendServer pausing(io, "i-3", "s");
+  store.Put("keyed.servers", "i-3", EntryText("s", Open(pausing)));
+  bool has_other = true;
+  SUBCASE("others take the requests") {}
+  SUBCASE("requests with nowhere to go are refused at once") {
+    has_other = false;
+    store.Put("keyed.servers", "i-1", std::nullopt);
+  }
+  AddNode();
+  REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
+  pausing.SetMode(BackendMode::kRefusing);
+  pausing.SetExtraHeaders("Retry-After: 1.5\r\n");
+  REQUIRE(RunUntil(io, [&] {
+    Get(settings[0].callers, "/read/x");
+    return pausing.last_arrival() != TimePoint();
+  }));
+  pausing.SetMode(BackendMode::kServing);
+  const TimePoint refused = MonotonicClock::now();
+  while (MonotonicClock::now() - refused < milliseconds(1350)) {
+    const TimePoint asked = MonotonicClock::now();
+    const std::string response = Get(settings[0].callers, "/read/x");
+    if (has_other) {
+      CHECK(response.starts_with("HTTP/1.1 200"));
+    } else {
+      CHECK(response.starts_with("HTTP/1.1 503"));
+      CHECK(MonotonicClock::now() - asked < milliseconds(100));
+      const std::size_t header = response.find("Retry-After: ");
+      REQUIRE(header != std::string::npos);
+      const double seconds_left = std::stod(response.substr(header + 13));
+      const Duration left = refused + milliseconds(1500) - MonotonicClock::now();
+      CHECK(seconds_left > std::chrono::duration<double>(left).count() - 0.2);
+      CHECK(seconds_left < std::chrono::duration<double>(left).count() + 0.2);
+    }
+    RunFor(io, milliseconds(20));
+  }
+  CHECK(pausing.last_arrival() <= refused);
+  CHECK(RunUntil(io, [&] {
+    Get(settings[0].callers, "/read/x");
+    return pausing.last_arrival() > refused;
+  }));
+}
+
 TEST_CASE_FIXTURE(NodeFixture, "a node recovers after the store has dropped responses") {
   AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
