Soak: refusals with Retry-After and entries of another writer

The servers that break the protocol also refuse for a time with Retry-After, and another writer replaces their entries by ones that name no server.

--- a/tests/soak/faulty_servers.h
+++ b/tests/soak/faulty_servers.h
@@ -9,8 +9,8 @@
 
 namespace mulberry::soak {
 
-/// Makes backend servers break the protocol towards the hosts, one after another. Only for the
-/// io_context's thread.
+/// Makes backend servers break the protocol towards the hosts or refuse for a time, and has another
+/// writer replace their entries, one after another. Only for the io_context's thread.
 class FaultyServers {
  public:
   FaultyServers(asio::io_context& io, Fleet& fleet, std::uint64_t seed)
@@ -23,11 +23,13 @@
  private:
   void Next();
   void Inject();
+  void EndFault();
   std::size_t Random(std::size_t below) { return random_() % below; }
 
   Fleet& fleet_;
   std::mt19937_64 random_;
   asio::steady_timer timer_;
+  Backend* faulty_ = nullptr;  ///< Null while no fault lasts.
   bool healed_ = false;
 };
 
