--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -20,8 +20,7 @@
   explicit ServerHistory(std::size_t max_removed) : max_removed_(max_removed) {}
 
   /// Returns false when the entry must be ignored: it is older than what is known, or moves the
-  /// server to another service without a restart. `era`: that of
-  /// the store from which the entry comes.
+  /// server to another service without a restart. `era`: that of the store from which it comes.
   bool Accept(const ServerEntry& entry, RecordSource source, StoreEra era, TimePoint now);
   /// True when an entry of the server was accepted and the server is remembered.
   bool Knows(const ServerName& id) const { return servers_.count(id) != 0; }
