--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -139,13 +139,14 @@
   for (const std::string name :
        {"Service", "Address", "Zone", "Version", "Slots", "State", "WarmupLeftMs", "Seq"}) {
     CAPTURE(name);
-    for (const std::string& value : {std::string(), std::string("null"), std::string("[]"),
-                                     std::string("true"), std::string("-1"), std::string("{}")}) {
+    for (const std::string value : {"", "null", "[]", "true", "-1", "{}"}) {
       CAPTURE(value);
       std::string text = kServer;
       const std::size_t begin = text.find("\"" + name + "\":");
       const std::size_t end = text.find(',', begin) + 1;
-      text.replace(begin, end - begin, value.empty() ? "" : "\"" + name + "\":" + value + ",");
+      std::string field;
+      if (!value.empty()) field.append("\"").append(name).append("\":").append(value).append(",");
+      text.replace(begin, end - begin, field);
       CHECK_FALSE(adapter->ParseServer({"i-1", text}).has_value());
     }
   }
--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -124,8 +124,9 @@
           if (answer.empty()) return connection->socket.close();
           asio::error_code ignored;
           connection->socket.write_some(asio::buffer(answer), ignored);
-          if (closes_ || answer.find("close") != std::string::npos)
+          if (closes_ || answer.find("close") != std::string::npos) {
             return connection->socket.close();
+          }
           Read(connection);
         });
   }
