Gateway: bodies are held in blocks that the memory budget hands out

Cause: what was budgeted was the length of a body.

MessageBody holds a body as a list of blocks of 4 KiB. MemoryBudget counts a block when it is taken, uses returned blocks before it allocates, and so never holds more for bodies than its limit, whatever the allocator keeps. A response's blocks move from the server's connection to the caller's, and are written from there.

Evidence: "a body that grows takes no more memory than its budget" failed before: budget 24 MiB, held up to 15.6 MiB beyond what was counted, peak 46.1 to 49.2 MB (four sizes of pieces). "a response for a caller that does not read is held once" failed before: 6.3 MB of body, peak 12.6 MB with a length, 14.7 MB without. Both hold now within 1 MiB.

--- a/src/libgateway/caller_server.cc
+++ b/src/libgateway/caller_server.cc
@@ -1,7 +1,7 @@
 #include "libgateway/caller_server.h"
 
+#include <algorithm>
 #include <array>
-#include <asio/write.hpp>
 #include <utility>
 #include <vector>
 
@@ -11,6 +11,8 @@
 constexpr std::size_t kReadBufferBytes = 32 * 1024;
 /// Maximum of pending requests per connection; later ones stay unparsed until a response is sent.
 constexpr std::size_t kMaxPipelinedRequests = 16;
+/// Buffers of one write; asio passes no more to the system.
+constexpr std::size_t kMaxWriteBuffers = 64;
 
 std::array<char, kReadBufferBytes>& SharedReadBuffer() {
   static std::array<char, kReadBufferBytes> buffer;
@@ -51,13 +53,14 @@
     WaitRead();
   }
 
-  void Respond(ExchangeId exchange, std::string head, const std::string& body, bool close);
+  void Respond(ExchangeId exchange, std::string head, std::string_view text, MessageBody body,
+               bool close);
   void Sweep(TimePoint now);
   void RefuseIncomplete();
   /// Reads what has arrived until there is a request.
   void ReadArrived();
   bool lingering() const { return lingering_; }
-  bool answering() const { return !pending_responses_.empty() || !write_buffer_.empty(); }
+  bool answering() const { return !pending_responses_.empty() || !outgoing_.empty(); }
   bool idle() const { return !lingering_ && !answering() && !reader_.started(); }
   void Close();
 
@@ -68,8 +71,10 @@
     bool is_head = false;
     bool closes_connection = false;  ///< The connection is closed after this response.
     bool ready = false;              ///< The response can be written.
-    std::string bytes;
-    MemoryReservation memory;  ///< For `bytes`.
+    std::string head;                ///< With the body if that is short.
+    MessageBody body;
+    MemoryReservation head_memory;
+    std::size_t size() const { return head.size() + body.size(); }
   };
 
   void WaitRead();
@@ -80,18 +85,19 @@
   void RefuseForMemory();
   void Reject(const char* head);
   void Flush();
+  /// Writes what the socket takes of the outgoing responses, and the rest later.
   void Write();
+  std::vector<asio::const_buffer> OutgoingBytes() const;
+  void RemoveOutgoing(std::size_t bytes);
   void OnWritten();
 
   CallerServer& server_;
   asio::ip::tcp::socket socket_;
   HttpReader reader_;
   std::deque<PendingResponse> pending_responses_;
-  std::string unparsed_;           ///< Bytes read but not yet parsed.
-  std::string write_buffer_;       ///< Bytes being written.
-  std::string next_write_buffer_;  ///< Bytes to write next.
-  /// For the bytes in both buffers, until both are written.
-  std::vector<MemoryReservation> write_memory_;
+  std::string unparsed_;                  ///< Bytes read but not yet parsed.
+  std::deque<PendingResponse> outgoing_;  ///< Being written.
+  std::size_t written_ = 0;               ///< Bytes of the first of them.
   TimePoint last_active_;
   TimePoint request_started_;
   TimePoint linger_started_;
@@ -166,9 +172,8 @@
     if (reader_.complete()) {
       DispatchRequest();
     } else if (reader_.head_complete() && reader_.expects_continue() &&
-               pending_responses_.empty() && write_buffer_.empty() &&
-               reader_.message().body.empty()) {
-      write_buffer_ = "HTTP/1.1 100 Continue\r\n\r\n";
+               pending_responses_.empty() && outgoing_.empty() && reader_.message().body.empty()) {
+      outgoing_.emplace_back().head = "HTTP/1.1 100 Continue\r\n\r\n";
       Write();
     }
   }
@@ -198,8 +203,7 @@
   pending_responses_.push_back(std::move(response));
   server_.exchanges_.emplace(id, shared_from_this());
   HttpMessage head = std::move(reader_.message());
-  head.body_memory.Release();
-  head.body.clear();
+  head.body.Clear();
   reader_.Reset();
   server_.events_.OnMemoryFull(id, head);
 }
@@ -209,13 +213,13 @@
   PendingResponse response;
   response.closes_connection = true;
   response.ready = true;
-  response.bytes = std::string(head) + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  response.head = std::string(head) + "Content-Length: 0\r\nConnection: close\r\n\r\n";
   pending_responses_.push_back(std::move(response));
   Flush();
 }
 
-void CallerSession::Respond(ExchangeId exchange, std::string head, const std::string& body,
-                            bool close) {
+void CallerSession::Respond(ExchangeId exchange, std::string head, std::string_view text,
+                            MessageBody body, bool close) {
   if (server_.draining_ && !pending_responses_.empty()) {
     // The requests behind this one may be running, so the close waits for their responses.
     no_more_requests_ = true;
@@ -225,17 +229,19 @@
     if (response.id != exchange || response.ready) continue;
     response.ready = true;
     response.closes_connection = response.closes_connection || close;
-    response.bytes = std::move(head);
-    if (response.is_head) {
-      // The head already states the Content-Length that a GET would have.
-    } else {
-      AppendHeader(response.bytes, "Content-Length", std::to_string(body.size()));
+    response.head = std::move(head);
+    // The head of a response to HEAD already states the Content-Length that a GET would have.
+    if (!response.is_head) {
+      AppendHeader(response.head, "Content-Length", std::to_string(text.size() + body.size()));
+    }
+    if (response.closes_connection) AppendHeader(response.head, "Connection", "close");
+    response.head += "\r\n";
+    if (!response.is_head) {
+      response.head += text;
+      response.body = std::move(body);
     }
-    if (response.closes_connection) AppendHeader(response.bytes, "Connection", "close");
-    response.bytes += "\r\n";
-    if (!response.is_head) response.bytes += body;
     if (server_.memory_ != nullptr) {
-      response.memory = server_.memory_->Reserve(response.bytes.size());
+      response.head_memory = server_.memory_->Reserve(response.head.capacity());
     }
     break;
   }
@@ -245,54 +251,63 @@
 /// Writes the responses that are next in order.
 void CallerSession::Flush() {
   if (closed_ || close_when_written_) return;
-  const bool not_writing = write_buffer_.empty();
+  const bool not_writing = outgoing_.empty();
   while (!pending_responses_.empty() && pending_responses_.front().ready && !close_when_written_) {
-    PendingResponse response = std::move(pending_responses_.front());
+    close_when_written_ = pending_responses_.front().closes_connection;
+    outgoing_.push_back(std::move(pending_responses_.front()));
     pending_responses_.pop_front();
-    std::string& buffer = not_writing ? write_buffer_ : next_write_buffer_;
-    if (buffer.empty()) {
-      buffer = std::move(response.bytes);
-    } else {
-      buffer += response.bytes;
+  }
+  if (not_writing && !outgoing_.empty()) Write();
+}
+
+std::vector<asio::const_buffer> CallerSession::OutgoingBytes() const {
+  std::vector<asio::const_buffer> buffers;
+  std::size_t offset = written_;
+  for (const PendingResponse& response : outgoing_) {
+    const std::size_t head_offset = std::min(offset, response.head.size());
+    if (head_offset < response.head.size()) {
+      buffers.push_back(asio::buffer(response.head) + head_offset);
     }
-    write_memory_.push_back(std::move(response.memory));
-    if (response.closes_connection) close_when_written_ = true;
+    response.body.AppendBuffers(offset - head_offset, kMaxWriteBuffers, &buffers);
+    if (buffers.size() >= kMaxWriteBuffers) break;
+    offset = 0;
+  }
+  return buffers;
+}
+
+void CallerSession::RemoveOutgoing(std::size_t bytes) {
+  written_ += bytes;
+  while (!outgoing_.empty() && written_ >= outgoing_.front().size()) {
+    written_ -= outgoing_.front().size();
+    outgoing_.pop_front();
   }
-  if (not_writing && !write_buffer_.empty()) Write();
 }
 
 void CallerSession::Write() {
   asio::error_code error;
-  const std::size_t sent = socket_.write_some(asio::buffer(write_buffer_), error);
+  const std::size_t sent = socket_.write_some(OutgoingBytes(), error);
   if (error && error != asio::error::would_block) {
     asio::post(server_.io_, [self = shared_from_this()] { self->Close(); });
     return;
   }
-  if (sent == write_buffer_.size()) {
+  RemoveOutgoing(sent);
+  if (outgoing_.empty()) {
     OnWritten();
     return;
   }
-  write_buffer_.erase(0, sent);
-  asio::async_write(socket_, asio::buffer(write_buffer_),
-                    [self = shared_from_this()](const asio::error_code& failure, std::size_t) {
-                      if (self->closed_) return;
-                      if (failure) {
-                        self->Close();
-                        return;
-                      }
-                      self->OnWritten();
-                    });
+  socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                     [self = shared_from_this()](const asio::error_code& failure) {
+                       if (self->closed_) return;
+                       if (failure) {
+                         self->Close();
+                         return;
+                       }
+                       self->Write();
+                     });
 }
 
 void CallerSession::OnWritten() {
-  write_buffer_ = std::exchange(next_write_buffer_, {});
   last_active_ = MonotonicClock::now();
-  if (!write_buffer_.empty()) {
-    Write();
-    return;
-  }
-  write_buffer_.shrink_to_fit();
-  write_memory_.clear();
   if (close_when_written_) {
     // Later requests on this connection are not processed; the close tells the caller so. The
     // connection is read until the caller closes it; otherwise a reset could truncate the response.
@@ -334,7 +349,7 @@
     return;
   }
   const bool write_stalled =
-      !write_buffer_.empty() && now - last_active_ > server_.limits_.idle_timeout;
+      !outgoing_.empty() && now - last_active_ > server_.limits_.idle_timeout;
   if (write_stalled || (idle() && now - last_active_ > server_.limits_.idle_timeout)) Close();
 }
 
@@ -350,6 +365,9 @@
   const auto self = shared_from_this();
   asio::error_code ignored;
   socket_.close(ignored);
+  // A handler may keep the session alive for longer than the memory budget.
+  reader_.Reset();
+  outgoing_.clear();
   for (const PendingResponse& response : std::exchange(pending_responses_, {})) {
     if (server_.exchanges_.erase(response.id) > 0) server_.events_.OnDisconnected(response.id);
   }
@@ -381,10 +399,17 @@
 
 void CallerServer::StopAccepting() { acceptor_.Stop(); }
 
-void CallerServer::Respond(ExchangeId exchange, std::string head, const std::string& body,
+void CallerServer::Respond(ExchangeId exchange, std::string head, MessageBody body, bool close) {
+  auto found = exchanges_.extract(exchange);
+  if (found.empty()) return;
+  found.mapped()->Respond(exchange, std::move(head), {}, std::move(body), close);
+}
+
+void CallerServer::Respond(ExchangeId exchange, std::string head, std::string_view text,
                            bool close) {
   auto found = exchanges_.extract(exchange);
-  if (!found.empty()) found.mapped()->Respond(exchange, std::move(head), body, close);
+  if (found.empty()) return;
+  found.mapped()->Respond(exchange, std::move(head), text, MessageBody(), close);
 }
 
 void CallerServer::CloseIdle() {
--- a/src/libgateway/caller_server.h
+++ b/src/libgateway/caller_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -72,7 +73,9 @@
   /// Sends a response with a head (status line and header lines, without the blank line,
   /// Content-Length and Connection) and a body. Does nothing if the exchange is unknown or has a
   /// response. `close`: the connection is closed after it.
-  void Respond(ExchangeId exchange, std::string head, const std::string& body, bool close = false);
+  void Respond(ExchangeId exchange, std::string head, MessageBody body, bool close = false);
+  /// The same with a short body.
+  void Respond(ExchangeId exchange, std::string head, std::string_view text, bool close = false);
 
   /// Closes connections that exceed a time limit; call a few times a second.
   void Sweep(TimePoint now);
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -77,7 +77,7 @@
   if (const std::string* id = FindHeader(request.headers, names.request_id)) {
     call->request_id = *id;
   }
-  call->body = std::make_shared<const std::string>(std::move(request.body));
+  call->body = std::make_shared<const MessageBody>(std::move(request.body));
   call->request = std::move(request);
   if (!Admit(*call)) return;
   Call& admitted = *call;
@@ -412,7 +412,8 @@
             {"took_ms", ToMilliseconds(now - call.arrived)},
             {"attempts", call.state.attempts}});
   const bool is_head = call.request.method == "HEAD";
-  Reply(call, WriteRelayedResponseHead(message, deps_.adapter.headers(), is_head), message.body);
+  Reply(call, WriteRelayedResponseHead(message, deps_.adapter.headers(), is_head),
+        std::move(message.body));
 }
 
 /// Sends the error response of a call that was not served.
@@ -440,16 +441,16 @@
   Reply(
       call,
       WriteLocalResponseHead(status, retry_after_header, call.request_id, deps_.adapter.headers()),
-      std::string(reason) + "\n");
+      MessageBody(std::string(reason) + "\n"));
 }
 
-void Forwarder::Reply(Call& call, std::string head, const std::string& body) {
+void Forwarder::Reply(Call& call, std::string head, MessageBody body) {
   call.answered = true;
   call.hedge_at = TimePoint::max();
   Dequeue(call);
   calls_by_exchange_.erase(call.exchange);
   SetTimer(call);
-  server_->Respond(call.exchange, std::move(head), body);
+  server_->Respond(call.exchange, std::move(head), std::move(body));
 }
 
 void Forwarder::Refuse(ExchangeId exchange, int status, std::string_view reason,
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -82,7 +82,7 @@
     CallId id;
     ExchangeId exchange = 0;
     HttpMessage request;  ///< Its body is in `body`.
-    std::shared_ptr<const std::string> body;
+    std::shared_ptr<const MessageBody> body;
     std::string request_id;
     std::shared_ptr<const Route> route;
     ServiceName service;
@@ -117,7 +117,7 @@
   void Relay(Call& call, HttpMessage& message, const Attempt& attempt, TimePoint now);
   void FailCall(Call& call, FailureCause cause, std::string_view reason, Duration retry_after,
                 TimePoint now);
-  void Reply(Call& call, std::string head, const std::string& body);
+  void Reply(Call& call, std::string head, MessageBody body);
   void Refuse(ExchangeId exchange, int status, std::string_view reason,
               const std::string& request_id, Duration retry_after);
   void CancelAttempts(Call& call, AttemptOutcome end, TimePoint now);
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -39,8 +39,8 @@
 /// Weight of the newest sample in the moving average of the request rate; small so that a short
 /// burst changes little.
 constexpr double kRequestRateSmoothing = 0.1;
-/// Part of the process's memory for the bodies of requests and responses. A body takes up to twice
-/// its size while it grows, and the rest of the process needs less than a fifth.
+/// Part of the process's memory for the bodies of requests and responses. The rest is for
+/// connections, what is known of servers and hosts, and what the allocator keeps.
 constexpr double kBodyMemoryFraction = 0.4;
 /// Largest configuration that fits a datagram beside the other fields.
 constexpr std::size_t kMaxConfigRecordBytes = 24 * 1024;
--- a/src/libgateway/http_client_connection.cc
+++ b/src/libgateway/http_client_connection.cc
@@ -3,7 +3,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <asio/write.hpp>
+#include <limits>
 #include <utility>
 
 namespace mulberry::gateway {
@@ -73,11 +75,17 @@
   }
 }
 
-std::array<asio::const_buffer, 2> HttpClientConnection::RequestBytes(std::size_t offset) const {
+std::vector<asio::const_buffer> HttpClientConnection::RequestBytes(std::size_t offset) const {
   const std::size_t head_offset = std::min(offset, request_.head.size());
-  asio::const_buffer body;
-  if (request_.body) body = asio::buffer(*request_.body) + (offset - head_offset);
-  return {asio::buffer(request_.head) + head_offset, body};
+  std::vector<asio::const_buffer> buffers;
+  if (head_offset < request_.head.size()) {
+    buffers.push_back(asio::buffer(request_.head) + head_offset);
+  }
+  if (request_.body) {
+    request_.body->AppendBuffers(offset - head_offset, std::numeric_limits<std::size_t>::max(),
+                                 &buffers);
+  }
+  return buffers;
 }
 
 void HttpClientConnection::Connect() {
@@ -265,7 +273,7 @@
   if (outcome != ExchangeOutcome::kResponseReceived || !reusable_) Close();
   reader_.Reset();
   // An unfinished write still reads the bytes of the request.
-  if (write_finished_ || closed_) request_ = ExchangeRequest();
+  if (write_finished_) request_ = ExchangeRequest();
   if (callback) callback(std::move(result));
 }
 
@@ -276,6 +284,9 @@
   asio::error_code ignored;
   socket_.close(ignored);
   callback_ = nullptr;
+  // A handler may keep the connection alive for longer than the memory budget.
+  reader_.Reset();
+  request_ = ExchangeRequest();
 }
 
 bool HttpClientConnection::SocketIsIdle() {
--- a/src/libgateway/http_client_connection.h
+++ b/src/libgateway/http_client_connection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -9,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libbase/base.h"
 #include "libgateway/http_reader.h"
@@ -39,7 +39,7 @@
 struct ExchangeRequest {
   std::string head;
   /// Sent after the head. Shared, so that further attempts need no copy; null without a body.
-  std::shared_ptr<const std::string> body;
+  std::shared_ptr<const MessageBody> body;
   bool is_head = false;
   /// Responses with another id in the header `id_header` belong to an earlier request and are
   /// skipped. Empty: every response is accepted.
@@ -80,7 +80,7 @@
 
  private:
   /// The bytes of the request from `offset` on.
-  std::array<asio::const_buffer, 2> RequestBytes(std::size_t offset) const;
+  std::vector<asio::const_buffer> RequestBytes(std::size_t offset) const;
   void Connect();
   void Write();
   void OnWritten(const asio::error_code& error);
--- a/src/libgateway/http_message.h
+++ b/src/libgateway/http_message.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "libbase/base.h"
-#include "libgateway/memory_budget.h"
+#include "libgateway/message_body.h"
 
 namespace mulberry::gateway {
 
@@ -20,9 +20,7 @@
   int status = 0;      ///< Responses only.
   std::string reason;  ///< Responses only.
   HeaderList headers;
-  std::string body;
-  /// Memory reserved for `body`; empty without a budget.
-  MemoryReservation body_memory;
+  MessageBody body;
   bool keep_alive = true;
   /// True when the body ended with the connection.
   bool ends_with_connection = false;
--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -11,11 +11,6 @@
 
 /// Bytes of a header line besides name and value.
 constexpr std::size_t kHeaderLineOverhead = 4;
-/// Maximum bytes allocated for a body in advance without a memory budget, since a stated length may
-/// be false.
-constexpr std::size_t kMaxBodyReserve = 64 * 1024;
-/// A body of unknown length reserves memory in steps of this size.
-constexpr std::size_t kBodyMemoryStep = 64 * 1024;
 
 bool IsTokenCharacter(unsigned char c) {
   constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
@@ -53,6 +48,8 @@
   http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
   message_ = HttpMessage();
+  message_.body.SetBudget(limits_.memory, kind_ == Kind::kRequest ? MemoryBudget::Use::kRequest
+                                                                  : MemoryBudget::Use::kResponse);
   head_bytes_ = 0;
   last_was_value_ = false;
   at_line_start_ = true;
@@ -198,15 +195,6 @@
                       [](const auto& header) { return ContainsStatusLine(header.second); }));
 }
 
-bool HttpReader::ReserveBody(std::size_t bytes) {
-  if (limits_.memory == nullptr) return true;
-  const auto use =
-      kind_ == Kind::kRequest ? MemoryBudget::Use::kRequest : MemoryBudget::Use::kResponse;
-  if (limits_.memory->TryGrow(message_.body_memory, bytes, use)) return true;
-  error_ = ReadError::kMemoryFull;
-  return false;
-}
-
 int HttpReader::OnHead(http_parser* parser) {
   HttpReader* self = ReaderOf(parser);
   self->head_complete_ = true;
@@ -228,10 +216,11 @@
     return -1;
   }
   if (has_length && !self->expects_no_body_) {
-    const auto length = static_cast<std::size_t>(parser->content_length);
-    if (!self->ReserveBody(length)) return -1;
-    const bool reserved = self->limits_.memory != nullptr;
-    message.body.reserve(reserved ? length : std::min(length, kMaxBodyReserve));
+    // Without a budget, nothing is allocated in advance: a stated length may be false.
+    if (self->limits_.memory != nullptr && !message.body.TryReserve(parser->content_length)) {
+      self->error_ = ReadError::kMemoryFull;
+      return -1;
+    }
   }
   if (self->kind_ == Kind::kRequest) {
     message.method = http_method_str(static_cast<http_method>(parser->method));
@@ -246,17 +235,14 @@
 
 int HttpReader::OnBody(http_parser* parser, const char* at, std::size_t length) {
   HttpReader* self = ReaderOf(parser);
-  std::string& body = self->message_.body;
+  MessageBody& body = self->message_.body;
   if (body.size() + length > self->limits_.max_body_bytes) {
     self->error_ = ReadError::kBodyTooLarge;
     return 1;
   }
-  if (body.size() + length > self->message_.body_memory.bytes() &&
-      !self->ReserveBody(body.size() + std::max(length, kBodyMemoryStep))) {
-    return 1;
-  }
-  body.append(at, length);
-  return 0;
+  if (body.Append({at, length})) return 0;
+  self->error_ = ReadError::kMemoryFull;
+  return 1;
 }
 
 int HttpReader::OnComplete(http_parser* parser) {
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -75,8 +75,6 @@
   /// line.
   bool FindsFoldedLine(std::string_view bytes);
   int AddHeadBytes(std::size_t bytes);
-  /// Reserves memory for a body of `bytes`. Returns false and sets the error if there is none.
-  bool ReserveBody(std::size_t bytes);
   bool IsHeadValid() const;
   bool ContainsSecondHead() const;
 
--- a/src/libgateway/memory_budget.cc
+++ b/src/libgateway/memory_budget.cc
@@ -1,5 +1,7 @@
 #include "libgateway/memory_budget.h"
 
+#include <bit>
+#include <iterator>
 #include <utility>
 
 namespace mulberry::gateway {
@@ -7,6 +9,8 @@
 
 /// Part of the limit that requests may use, in percent.
 constexpr std::size_t kRequestPercent = 70;
+constexpr std::uint64_t kAllBlocks = ~std::uint64_t{0};
+static_assert(MemoryBudget::kSlabBlocks == 64, "a bit for each block");
 
 }  // namespace
 
@@ -29,12 +33,42 @@
   bytes_ = 0;
 }
 
+char* MemoryBudget::Block::data() const {
+  return reinterpret_cast<char*>(slab->bytes.get()) + index * kBlockBytes;
+}
+
+bool MemoryBudget::Allows(std::size_t bytes, Use use) const {
+  const std::size_t available = use == Use::kRequest ? limit_ / 100 * kRequestPercent : limit_;
+  return used_ + bytes <= available;
+}
+
+MemoryBudget::Block MemoryBudget::Take() {
+  if (open_slabs_.empty()) {
+    // Not initialised, so that pages that are never written stay unmapped.
+    open_slabs_.push_back({std::unique_ptr<std::byte[]>(new std::byte[kSlabBytes]), kAllBlocks});
+  }
+  const auto slab = open_slabs_.begin();
+  const auto index = static_cast<std::uint32_t>(std::countr_zero(slab->free_blocks));
+  slab->free_blocks &= slab->free_blocks - 1;
+  if (slab->free_blocks == 0) full_slabs_.splice(full_slabs_.begin(), open_slabs_, slab);
+  used_ += kBlockBytes;
+  return {slab, index};
+}
+
+void MemoryBudget::Return(const Block& block) {
+  used_ -= kBlockBytes;
+  const auto slab = block.slab;
+  if (slab->free_blocks == 0) open_slabs_.splice(open_slabs_.begin(), full_slabs_, slab);
+  slab->free_blocks |= std::uint64_t{1} << block.index;
+  // One slab is kept, so that a single request does not allocate one.
+  if (slab->free_blocks == kAllBlocks && open_slabs_.size() > 1) open_slabs_.erase(slab);
+}
+
 bool MemoryBudget::TryGrow(MemoryReservation& reservation, std::size_t bytes, Use use) {
   if (bytes <= reservation.bytes_) return true;
-  const std::size_t available = use == Use::kRequest ? limit_ / 100 * kRequestPercent : limit_;
-  const std::size_t used = used_ + bytes - reservation.bytes_;
-  if (used > available) return false;
-  used_ = used;
+  const std::size_t added = bytes - reservation.bytes_;
+  if (!Allows(added, use)) return false;
+  used_ += added;
   reservation.budget_ = this;
   reservation.bytes_ = bytes;
   return true;
--- a/src/libgateway/store_client.cc
+++ b/src/libgateway/store_client.cc
@@ -49,7 +49,7 @@
     AppendHeader(request.head, "Content-Length", std::to_string(call.body.size()));
   }
   request.head += "\r\n";
-  if (!call.body.empty()) request.body = std::make_shared<const std::string>(call.body);
+  if (!call.body.empty()) request.body = std::make_shared<const MessageBody>(call.body);
   pending.connection->Exchange(std::move(request), [this, call_id](ExchangeResult result) {
     OnResult(call_id, std::move(result));
   });
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -214,13 +214,13 @@
 
 Result<void> StoreReader::ApplyResponse(const FollowStep& step, const HttpMessage& response) {
   if (std::holds_alternative<FollowNewest>(step)) {
-    auto page = adapter_.ParseNewest(response.body);
+    auto page = adapter_.ParseNewest(response.body.Text());
     if (!page) return page.error();
     page.value().era = follower_.era();
     follower_.OnNewest(page.value());
     return boost::outcome_v2::success();
   }
-  auto page = adapter_.ParseRecords(response.body, std::get<FollowRecords>(step).from);
+  auto page = adapter_.ParseRecords(response.body.Text(), std::get<FollowRecords>(step).from);
   if (!page) return page.error();
   page.value().era = follower_.era();
   follower_.OnRecords(page.value());
--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <vector>
 
+#include "allocation_counter.h"
 #include "fake_adapter.h"
 #include "scripted_server.h"
 #include "test_caller.h"
@@ -20,6 +21,14 @@
 
 const ServiceName search_service("search");
 
+/// A caller's connection that is not read.
+struct SilentCaller {
+  SilentCaller(asio::io_context& io, std::uint16_t port) : socket(io) {
+    socket.connect({asio::ip::make_address_v4("127.0.0.1"), port});
+  }
+  asio::ip::tcp::socket socket;
+};
+
 /// A forwarder with two scripted servers.
 struct Fixture {
   Fixture()
@@ -610,5 +619,34 @@
   CHECK(RunUntil(io, [&] { return caller.received.find("HTTP/1.1 503 ") == 0; }));
 }
 
+TEST_CASE_FIXTURE(Fixture, "a response for a caller that does not read is held once") {
+  constexpr std::size_t kPieceBytes = 64 * 1024;
+  constexpr std::size_t kPieces = 96;
+  constexpr std::size_t kSlack = 1 << 20;
+  SilentCaller silent(io, port);
+  const std::string request = "GET /read/1 HTTP/1.1\r\nHost: h.example\r\nId: 7\r\n\r\n";
+  asio::write(silent.socket, asio::buffer(request));
+  const auto at = NextServerConnection();
+  const std::string piece(kPieceBytes, 'r');
+  const AllocationCounter allocations;
+  SUBCASE("with a length") {
+    at->Write("HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s1\r\nContent-Length: " +
+              std::to_string(kPieces * kPieceBytes) + "\r\n\r\n");
+  }
+  SUBCASE("without a length") {
+    at->Write("HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s1\r\nConnection: close\r\n\r\n");
+  }
+  for (std::size_t i = 0; i < kPieces; ++i) {
+    at->Write(piece);
+    RunFor(io, milliseconds(1));
+  }
+  at->Close();
+  REQUIRE(RunUntil(io, [&] { return forwarder.calls() == 0; }));
+  CHECK(allocations.peak() <= kPieces * kPieceBytes + kSlack);
+  CHECK(memory.used() > 0);
+  silent.socket.close();
+  CHECK(RunUntil(io, [&] { return memory.used() == 0; }));
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
--- a/tests/gateway/http_reader_test.cc
+++ b/tests/gateway/http_reader_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "allocation_counter.h"
+
 namespace mulberry::gateway {
 namespace {
 
@@ -63,6 +65,30 @@
                      std::string(65, 'a')) == ReadError::kBodyTooLarge);
 }
 
+TEST_CASE("a body that grows takes no more memory than its budget") {
+  constexpr std::size_t kBudget = 24 << 20;
+  // Allocations are rounded up, and the reader has some of its own.
+  constexpr std::size_t kSlack = 1 << 20;
+  for (const std::size_t piece : {1000U, 16'000U, 30'000U, 64'000U}) {
+    CAPTURE(piece);
+    MemoryBudget memory(kBudget);
+    HttpReader reader(HttpReader::Kind::kResponse, {.max_body_bytes = 64 << 20, .memory = &memory});
+    const std::string body(piece, 'z');
+    const AllocationCounter allocations;
+    reader.Read("HTTP/1.1 200 OK\r\n\r\n");
+    std::size_t most_beyond = 0;
+    while (reader.error() == ReadError::kNone) {
+      reader.Read(body);
+      most_beyond =
+          std::max(most_beyond, allocations.held() - std::min(allocations.held(), memory.used()));
+    }
+    CHECK(reader.error() == ReadError::kMemoryFull);
+    CHECK(reader.message().body.size() > kBudget - kSlack);
+    CHECK(most_beyond <= kSlack);
+    CHECK(allocations.peak() <= kBudget + kSlack);
+  }
+}
+
 TEST_CASE("a response without a length is complete when the connection closes in order") {
   HttpReader reader(HttpReader::Kind::kResponse, kLimits);
   reader.Read("HTTP/1.1 200 OK\r\nX: 1\r\n\r\npart");
