Gateway: a body without an end leaves memory to other responses

While a server's answer without an end filled the memory for bodies, sound servers' answers to other requests found none: they were dropped and their callers got 502 for requests that had run.

Cause: one response could take all of the budget, and which response was dropped was a matter of which one asked first.

Responses over 64 KiB may now use 85 % of the budget together, and one whose length isn't stated half of it. The rest is for the small ones, which nearly all are. Responses of more than 64 KiB can still be dropped by several that don't end at the same time.

Evidence: "a body without an end does not cost other requests their responses" failed before (no 200 for the other request, 64 KiB of body), and passes. "large responses leave part of the memory to small ones" is new. "a response for a caller that does not read is held once" gets a larger budget for its 6 MB without a length.

--- a/src/libgateway/memory_budget.cc
+++ b/src/libgateway/memory_budget.cc
@@ -7,8 +7,13 @@
 namespace mulberry::gateway {
 namespace {
 
-/// Part of the limit that requests may use, in percent.
+/// Parts of the limit, in percent: what is used by the time that a request or a large response
+/// takes more, and what a response of unknown length takes.
 constexpr std::size_t kRequestPercent = 70;
+constexpr std::size_t kLargeResponsePercent = 85;
+constexpr std::size_t kUnboundedResponsePercent = 50;
+/// Responses up to this size may use the whole limit; most are smaller.
+constexpr std::size_t kSmallResponseBytes = 64 * 1024;
 constexpr std::uint64_t kAllBlocks = ~std::uint64_t{0};
 static_assert(MemoryBudget::kSlabBlocks == 64, "a bit for each block");
 
@@ -37,9 +42,18 @@
   return reinterpret_cast<char*>(slab->bytes.get()) + index * kBlockBytes;
 }
 
-bool MemoryBudget::Allows(std::size_t bytes, Use use) const {
-  const std::size_t available = use == Use::kRequest ? limit_ / 100 * kRequestPercent : limit_;
-  return used_ + bytes <= available;
+bool MemoryBudget::Allows(std::size_t added, std::size_t total, Use use) const {
+  std::size_t available = limit_;
+  if (use == Use::kRequest) {
+    available = limit_ / 100 * kRequestPercent;
+  } else if (total > kSmallResponseBytes) {
+    available = limit_ / 100 * kLargeResponsePercent;
+  }
+  return used_ + added <= available;
+}
+
+std::size_t MemoryBudget::MaxUnboundedResponse() const {
+  return limit_ / 100 * kUnboundedResponsePercent;
 }
 
 MemoryBudget::Block MemoryBudget::Take() {
@@ -67,7 +81,7 @@
 bool MemoryBudget::TryGrow(MemoryReservation& reservation, std::size_t bytes, Use use) {
   if (bytes <= reservation.bytes_) return true;
   const std::size_t added = bytes - reservation.bytes_;
-  if (!Allows(added, use)) return false;
+  if (!Allows(added, bytes, use)) return false;
   used_ += added;
   reservation.budget_ = this;
   reservation.bytes_ = bytes;
--- a/src/libgateway/memory_budget.h
+++ b/src/libgateway/memory_budget.h
@@ -32,8 +32,9 @@
 /// Limits the memory for the requests and responses that this process holds at the same time, and
 /// hands it out in blocks of one size. A returned block is used again before memory is allocated,
 /// so the process holds no more for blocks than the limit, whatever the allocator keeps. Requests
-/// may use only part of the limit, so that the responses to accepted requests still fit. Must
-/// outlive its blocks and reservations. Not thread safe.
+/// may use only part of the limit, so that the responses to accepted requests still fit, and so may
+/// large responses, so that one without an end does not cost other requests theirs. Must outlive
+/// its blocks and reservations. Not thread safe.
 class MemoryBudget {
  public:
   enum class Use { kRequest, kResponse };
@@ -65,9 +66,11 @@
   /// Bytes that are allocated for blocks, in use or not.
   std::size_t allocated() const { return (full_slabs_.size() + open_slabs_.size()) * kSlabBytes; }
 
-  /// True when `bytes` more may be taken or reserved for this use.
-  bool Allows(std::size_t bytes, Use use) const;
-  /// Precondition: Allows(kBlockBytes) for the use of the block. Give it back with Return.
+  /// True when `added` bytes may be taken or reserved for a message that then has `total`.
+  bool Allows(std::size_t added, std::size_t total, Use use) const;
+  /// The most that a response whose length is not known may take.
+  std::size_t MaxUnboundedResponse() const;
+  /// Precondition: Allows(kBlockBytes) for the message of the block. Give it back with Return.
   Block Take();
   void Return(const Block& block);
 
--- a/src/libgateway/message_body.cc
+++ b/src/libgateway/message_body.cc
@@ -33,24 +33,34 @@
   const std::size_t held = allocated();
   if (bytes <= held) return true;
   const std::size_t missing = (bytes - held + kBlockBytes - 1) / kBlockBytes;
-  if (budget_ != nullptr && !budget_->Allows(missing * kBlockBytes, use_)) return false;
-  for (std::size_t i = 0; i < missing; ++i) TryAddBlock();
+  const std::size_t added = missing * kBlockBytes;
+  if (budget_ != nullptr && !budget_->Allows(added, held + added, use_)) return false;
+  for (std::size_t i = 0; i < missing; ++i) AddBlock();
   return true;
 }
 
-bool MessageBody::TryAddBlock() {
+bool MessageBody::TryGrow() {
+  const std::size_t total = allocated() + kBlockBytes;
+  if (budget_ != nullptr) {
+    if (!budget_->Allows(kBlockBytes, total, use_)) return false;
+    const bool is_response = use_ == MemoryBudget::Use::kResponse;
+    if (is_response && total > budget_->MaxUnboundedResponse()) return false;
+  }
+  AddBlock();
+  return true;
+}
+
+void MessageBody::AddBlock() {
   if (budget_ == nullptr) {
     own_blocks_.emplace_back(new char[kBlockBytes]);
-    return true;
+  } else {
+    blocks_.push_back(budget_->Take());
   }
-  if (!budget_->Allows(kBlockBytes, use_)) return false;
-  blocks_.push_back(budget_->Take());
-  return true;
 }
 
 bool MessageBody::Append(std::string_view bytes) {
   while (!bytes.empty()) {
-    if (size_ == allocated() && !TryAddBlock()) return false;
+    if (size_ == allocated() && !TryGrow()) return false;
     const std::size_t used_in_block = size_ % kBlockBytes;
     const std::size_t count = std::min(bytes.size(), kBlockBytes - used_in_block);
     std::memcpy(BlockData(size_ / kBlockBytes) + used_in_block, bytes.data(), count);
--- a/src/libgateway/message_body.h
+++ b/src/libgateway/message_body.h
@@ -51,7 +51,9 @@
 
  private:
   char* BlockData(std::size_t index) const;
-  bool TryAddBlock();
+  /// Adds a block beyond what was reserved.
+  bool TryGrow();
+  void AddBlock();
 
   MemoryBudget* budget_ = nullptr;
   MemoryBudget::Use use_ = MemoryBudget::Use::kRequest;
--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -623,6 +623,7 @@
   constexpr std::size_t kPieceBytes = 64 * 1024;
   constexpr std::size_t kPieces = 96;
   constexpr std::size_t kSlack = 1 << 20;
+  memory.SetLimit(4 * kPieces * kPieceBytes);
   SilentCaller silent(io, port);
   const std::string request = "GET /read/1 HTTP/1.1\r\nHost: h.example\r\nId: 7\r\n\r\n";
   asio::write(silent.socket, asio::buffer(request));
@@ -648,5 +649,27 @@
   CHECK(RunUntil(io, [&] { return memory.used() == 0; }));
 }
 
+TEST_CASE_FIXTURE(Fixture, "a body without an end does not cost other requests their responses") {
+  constexpr std::size_t kPieceBytes = 16 * 1024;
+  SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
+  const auto endless = NextServerConnection();
+  TestCaller other(io);
+  other.Connect(port);
+  other.Write("POST /write/2 HTTP/1.1\r\nHost: h.example\r\nId: 7\r\nContent-Length: 0\r\n\r\n");
+  const auto sound = NextServerConnection();
+  endless->Write("HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s1\r\n\r\n");
+  const std::string piece(kPieceBytes, 'z');
+  while (!endless->ended && memory.used() + 2 * kPieceBytes < 8 << 20) {
+    endless->Write(piece);
+    RunFor(io, milliseconds(1));
+  }
+  const std::string body(4 * kPieceBytes, 'b');
+  sound->Write(Answer(200, body));
+  RunUntil(io, [&] { return other.received.size() > body.size(); });
+  CHECK(other.received.starts_with("HTTP/1.1 200"));
+  CHECK(other.received.ends_with(body));
+  endless->Close();
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
--- a/tests/gateway/memory_budget_test.cc
+++ b/tests/gateway/memory_budget_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <utility>
+#include <vector>
 
 namespace mulberry::gateway {
 
@@ -21,6 +22,47 @@
   CHECK(budget.used() == 1000);
 }
 
+TEST_CASE("large responses leave part of the memory to small ones") {
+  constexpr std::size_t kMegabyte = 1 << 20;
+  MemoryBudget budget(10 * kMegabyte);
+  MemoryReservation large;
+  CHECK_FALSE(budget.TryGrow(large, 9 * kMegabyte, Use::kResponse));
+  CHECK(budget.TryGrow(large, 8 * kMegabyte, Use::kResponse));
+  MemoryReservation another;
+  CHECK_FALSE(budget.TryGrow(another, kMegabyte, Use::kResponse));
+  std::vector<MemoryReservation> small(32);
+  for (MemoryReservation& response : small) {
+    CHECK(budget.TryGrow(response, 64 << 10, Use::kResponse));
+  }
+  CHECK(budget.used() == 10 * kMegabyte);
+}
+
+TEST_CASE("blocks are used again before memory is allocated") {
+  constexpr std::size_t kBlocks = 10 * MemoryBudget::kSlabBlocks;
+  MemoryBudget budget(kBlocks * MemoryBudget::kBlockBytes);
+  std::vector<MemoryBudget::Block> blocks;
+  for (int round = 0; round < 3; ++round) {
+    while (budget.Allows(MemoryBudget::kBlockBytes, MemoryBudget::kBlockBytes, Use::kResponse)) {
+      blocks.push_back(budget.Take());
+      blocks.back().data()[0] = 'x';
+    }
+    CHECK(blocks.size() == kBlocks);
+    CHECK(budget.allocated() == budget.used());
+    // One block of each slab stays in use.
+    for (std::size_t i = 0; i < blocks.size(); ++i) {
+      if (i % MemoryBudget::kSlabBlocks != 0) budget.Return(blocks[i]);
+    }
+    for (std::size_t i = 0; i < kBlocks / MemoryBudget::kSlabBlocks; ++i) {
+      blocks[i] = blocks[i * MemoryBudget::kSlabBlocks];
+    }
+    blocks.resize(kBlocks / MemoryBudget::kSlabBlocks);
+    CHECK(budget.used() == blocks.size() * MemoryBudget::kBlockBytes);
+  }
+  for (const MemoryBudget::Block& block : blocks) budget.Return(block);
+  CHECK(budget.used() == 0);
+  CHECK(budget.allocated() == MemoryBudget::kSlabBytes);
+}
+
 TEST_CASE("a reservation moves and returns its bytes once") {
   MemoryBudget budget(1000);
   {
