Gateway: heads of messages count against the memory budget

A head of 64 KiB in short lines takes 1 MB in the list of headers, and up to 16 pipelined requests and each server's connection may have one.

The reader now reserves for each header line what the list and the strings take while they grow, in steps of 1 KiB; what doesn't fit is refused like a body (503 `memory_full`), or fails the attempt.

The checks of `memory.used()` in caller_server_test now include the step that a short head takes.

--- a/src/libgateway/http_message.h
+++ b/src/libgateway/http_message.h
@@ -21,6 +21,8 @@
   std::string reason;  ///< Responses only.
   HeaderList headers;
   MessageBody body;
+  /// Memory reserved for the rest of the message; empty without a budget.
+  MemoryReservation head_memory;
   bool keep_alive = true;
   /// True when the body ended with the connection.
   bool ends_with_connection = false;
--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -11,6 +11,13 @@
 
 /// Bytes of a header line besides name and value.
 constexpr std::size_t kHeaderLineOverhead = 4;
+/// Memory for a header line besides its text. The list holds up to twice its entries, and three
+/// times while it grows.
+constexpr std::size_t kHeaderLineMemory = 3 * sizeof(HeaderList::value_type);
+/// Memory for a byte of the head, since strings grow like the list.
+constexpr std::size_t kHeadByteMemory = 2;
+/// Memory for a head is reserved in steps of this size.
+constexpr std::size_t kHeadMemoryStep = 1024;
 
 bool IsTokenCharacter(unsigned char c) {
   constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
@@ -48,8 +55,7 @@
   http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
   message_ = HttpMessage();
-  message_.body.SetBudget(limits_.memory, kind_ == Kind::kRequest ? MemoryBudget::Use::kRequest
-                                                                  : MemoryBudget::Use::kResponse);
+  message_.body.SetBudget(limits_.memory, Use());
   head_bytes_ = 0;
   last_was_value_ = false;
   at_line_start_ = true;
@@ -125,9 +131,21 @@
 
 int HttpReader::AddHeadBytes(std::size_t bytes) {
   head_bytes_ += bytes;
-  if (head_bytes_ <= limits_.max_head_bytes) return 0;
-  error_ = ReadError::kHeadTooLarge;
-  return 1;
+  if (head_bytes_ > limits_.max_head_bytes) {
+    error_ = ReadError::kHeadTooLarge;
+    return 1;
+  }
+  return ReserveHead() ? 0 : 1;
+}
+
+bool HttpReader::ReserveHead() {
+  if (limits_.memory == nullptr) return true;
+  const std::size_t bytes =
+      message_.headers.size() * kHeaderLineMemory + head_bytes_ * kHeadByteMemory;
+  const std::size_t steps = (bytes + kHeadMemoryStep - 1) / kHeadMemoryStep;
+  if (limits_.memory->TryGrow(message_.head_memory, steps * kHeadMemoryStep, Use())) return true;
+  error_ = ReadError::kMemoryFull;
+  return false;
 }
 
 int HttpReader::OnBegin(http_parser* parser) {
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -23,7 +23,7 @@
 struct ReadLimits {
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_body_bytes = 1024 * 1024;
-  /// Budget for bodies; must outlive the reader and its messages. Null: only max_body_bytes counts.
+  /// Budget for messages; must outlive the reader and its messages. Null: only the sizes count.
   MemoryBudget* memory = nullptr;
 };
 
@@ -71,10 +71,16 @@
   static int OnComplete(http_parser* parser);
   static const http_parser_settings& Callbacks();
 
+  MemoryBudget::Use Use() const {
+    return kind_ == Kind::kRequest ? MemoryBudget::Use::kRequest : MemoryBudget::Use::kResponse;
+  }
   /// Returns true when a header line starts with white space and so would continue the previous
   /// line.
   bool FindsFoldedLine(std::string_view bytes);
   int AddHeadBytes(std::size_t bytes);
+  /// Reserves memory for the head as far as it was read. Returns false and sets the error if there
+  /// is none.
+  bool ReserveHead();
   bool IsHeadValid() const;
   bool ContainsSecondHead() const;
 
--- a/tests/gateway/caller_server_test.cc
+++ b/tests/gateway/caller_server_test.cc
@@ -21,6 +21,8 @@
   constexpr std::size_t kBlock = MemoryBudget::kBlockBytes;
   return (bytes + kBlock - 1) / kBlock * kBlock;
 }
+/// Memory that a head of a few short lines takes.
+constexpr std::size_t kHeadBytes = 1024;
 
 /// Records requests; the test responds to them.
 class RequestRecorder : public CallerEvents {
@@ -181,7 +183,7 @@
   TestCaller first(io);
   first.Connect(port);
   first.Write(upload("Content-Length: 500000"));
-  REQUIRE(RunUntil(io, [&] { return memory.used() == BlockBytes(500000); }));
+  REQUIRE(RunUntil(io, [&] { return memory.used() == BlockBytes(500000) + kHeadBytes; }));
   TestCaller second(io);
   second.Connect(port);
   SUBCASE("with a length, before the body comes") {
@@ -195,7 +197,7 @@
   REQUIRE(RunUntil(io, [&] { return second.received.find("503") != std::string::npos; }));
   CHECK(second.received.find("Connection: close") != std::string::npos);
   REQUIRE(RunUntil(io, [&] { return second.ended; }));
-  CHECK(memory.used() == BlockBytes(500000));
+  CHECK(memory.used() == BlockBytes(500000) + kHeadBytes);
   CHECK(recorder.requests.empty());
   first.Write(std::string(500000, 'x'));
   WaitForRequests(1);
@@ -210,7 +212,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "a caller that leaves while it sends a body gives its memory back") {
   caller.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\nabc");
-  REQUIRE(RunUntil(io, [&] { return memory.used() == BlockBytes(900); }));
+  REQUIRE(RunUntil(io, [&] { return memory.used() == BlockBytes(900) + kHeadBytes; }));
   caller.Close();
   CHECK(RunUntil(io, [&] { return memory.used() == 0; }));
   CHECK(recorder.requests.empty());
--- a/tests/gateway/http_reader_test.cc
+++ b/tests/gateway/http_reader_test.cc
@@ -89,6 +89,26 @@
   }
 }
 
+TEST_CASE("a head of many short lines takes no more memory than its budget") {
+  constexpr std::size_t kSlack = 8 << 10;
+  for (const std::string line :
+       {"a:1\r\n", "name: value\r\n", "a-long-name-of-a-header: and a value\r\n"}) {
+    CAPTURE(line);
+    MemoryBudget memory(1 << 20);
+    const AllocationCounter allocations;
+    HttpReader reader(HttpReader::Kind::kRequest, {.max_head_bytes = 64 << 10, .memory = &memory});
+    reader.Read("GET / HTTP/1.1\r\n");
+    std::size_t most_beyond = 0;
+    while (reader.error() == ReadError::kNone) {
+      reader.Read(line);
+      most_beyond =
+          std::max(most_beyond, allocations.held() - std::min(allocations.held(), memory.used()));
+    }
+    CHECK(most_beyond <= kSlack);
+    CHECK(allocations.peak() <= (1 << 20) + kSlack);
+  }
+}
+
 TEST_CASE("a response without a length is complete when the connection closes in order") {
   HttpReader reader(HttpReader::Kind::kResponse, kLimits);
   reader.Read("HTTP/1.1 200 OK\r\nX: 1\r\n\r\npart");
