Servers: lifetimes are not ordered by their clocks

Cause: told a late write of a former lifetime by its earlier start time. A new lifetime of a server whose clock was set back has an earlier start time too, so for ten seconds its entries, also the report that it is leaving, were taken for a former one's. And the other way round: a former lifetime with a later start time, or one that this host had not seen, was taken for a new one.

ServerHistory now keeps which lifetimes it has seen, and what replaced what, and does not compare start times: - One that was replaced has ended; its entries are ignored. If the one that replaced it was heard of only once, that one may have been a late first entry: then a report of the replaced one that it is leaving holds, and it is in use again once it alone goes on writing. - One that was never seen is a new one at once if the server is in use. If the server is leaving or gone, it must go on writing for longer than a server's pause between entries, while the known one is silent; one or two late entries don't.

--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -4,26 +4,40 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <vector>
 
 #include "libgateway/topic_follower.h"
 #include "libgateway/types.h"
 
 namespace mulberry::gateway {
 
-/// Remembers which servers have announced that they are leaving or were removed, so that a restored
-/// store, whose entries may be older than that, does not bring them back, and which service a
-/// server belongs to, so that another writer's entry does not move it. Does no I/O. Not thread
-/// safe.
+/// Decides which entries of a server hold. The store may execute a write seconds late, so an entry
+/// may be of a lifetime that has ended, and a restored store may hold entries from before the
+/// server left. Also keeps a server in its service within a lifetime. Does no I/O. Not thread safe.
+///
+/// Lifetimes are told apart by their start times but not ordered by them, since clocks are set
+/// back:
+/// - One that was replaced has ended. If it goes on writing while the one that replaced it was
+/// heard
+///   of only once, that one was a late entry.
+/// - One that was never seen is a new one. If the server is known to leave or to be gone, it may
+/// also
+///   be a former one, so it must go on writing while the known one is silent.
 class ServerHistory {
  public:
   /// `max_removed`: how many removed servers are remembered; the oldest are forgotten first.
   explicit ServerHistory(std::size_t max_removed) : max_removed_(max_removed) {}
 
-  /// Returns false when the entry must be ignored: it is older than what is known, or moves the
-  /// server to another service without a restart. `era`: that of the store from which it comes.
-  bool Accept(const ServerEntry& entry, RecordSource source, StoreEra era, TimePoint now);
+  /// Returns the entry that holds for the server now, empty when this one must be ignored. `era`:
+  /// that of the store from which it comes.
+  std::optional<ServerEntry> Accept(const ServerEntry& entry, RecordSource source, StoreEra era,
+                                    TimePoint now);
   /// True when an entry of the server was accepted and the server is remembered.
   bool Knows(const ServerName& id) const { return servers_.count(id) != 0; }
+  /// True when entries of two lifetimes have come so recently that another host may hold the wrong
+  /// one.
+  bool IsContested(const ServerName& id, TimePoint now) const;
   /// The server counts as removed since this era.
   void OnRemoved(const ServerName& id, StoreEra era, TimePoint now);
 
@@ -31,17 +45,38 @@
 
  private:
   enum class State { kPresent, kLeaving, kRemoved };
+  struct Lifetime {
+    std::int64_t started_at_ms = 0;
+    std::uint64_t sequence = 0;
+    /// When it was first heard of after the last entry of another lifetime.
+    TimePoint heard_since;
+    TimePoint heard_at;
+    bool heard_again = false;  ///< More than one entry of it has come.
+  };
   struct Known {
     State state = State::kPresent;
-    ServiceName service;
     bool service_confirmed = false;  ///< Two entries of this lifetime in a row have named it.
-    std::int64_t started_at_ms = 0;
-    std::uint64_t sequence = 0;
     StoreEra era;
-    TimePoint heard_at;  ///< When this lifetime was last heard of.
+    Lifetime current;
+    ServerEntry entry;  ///< The last one of the current lifetime.
+    /// Not known before, and not in use yet.
+    std::optional<Lifetime> candidate;
+    std::vector<Lifetime> former;  ///< The last ones that were replaced, oldest first.
+    TimePoint contested_until;
   };
+  using Accepted = std::optional<ServerEntry>;
+
+  static Accepted AcceptCurrent(Known& known, const ServerEntry& entry, RecordSource source,
+                                StoreEra era, TimePoint now);
+  static Accepted AcceptFormer(Known& known, Lifetime& former, const ServerEntry& entry,
+                               StoreEra era, TimePoint now);
+  static Accepted AcceptUnknown(Known& known, const ServerEntry& entry, RecordSource source,
+                                StoreEra era, TimePoint now);
+  static Accepted Replace(Known& known, const Lifetime& next, const ServerEntry& entry,
+                          StoreEra era);
+  /// Whether an entry of the current lifetime must be ignored.
   static bool MustIgnore(const ServerEntry& entry, const Known& known, RecordSource source,
-                         StoreEra era, TimePoint now);
+                         StoreEra era);
   void ForgetOldest();
 
   std::size_t max_removed_;
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -228,17 +228,20 @@
              {{"key", record.key}, {"error", "unknown service " + entry.value().service.str()}});
     return;
   }
-  if (!history_.Accept(entry.value(), source, era_, MonotonicClock::now())) {
+  const TimePoint now = MonotonicClock::now();
+  const auto held = history_.Accept(entry.value(), source, era_, now);
+  if (!held) {
     LogEvent(LogLevel::kInfo, "server_entry_old",
              {{"server", id.str()},
               {"era", era_.value()},
               {"sequence", entry.value().sequence},
+              {"started_at_ms", entry.value().started_at_ms},
               {"from_copy", source == RecordSource::kNewest}});
     return;
   }
   removal_policy_.OnEntryPresent(id);
-  const bool changed = events_.OnServerEntry(entry.value());
-  if (relayed && (changed || MonotonicClock::now() < relay_all_until_)) {
+  const bool changed = events_.OnServerEntry(*held);
+  if (relayed && (changed || now < relay_all_until_)) {
     server_changes_.push_back(record);
   }
 }
