Servers: what a server has said in a response holds against an unknown lifetime

A server that had said in a response that it is leaving was used again after a late entry of a lifetime that this host had not seen.

Cause: the statement was kept with the start time of the entry in use, in ServerPool, and given up with any other start time. ServerHistory, which decides on lifetimes, did not know of it.

It now counts like the report in the store: an unknown lifetime must go on writing before the server is used again.

--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -193,6 +193,10 @@
   forwarder_.DispatchQueued();
 }
 
+bool GatewayNode::HasAnnouncedLeaving(const ServerName& id) const {
+  return pool_.HasAnnouncedLeaving(id);
+}
+
 bool GatewayNode::MayBeService(const ServiceName& service) const {
   return !config_.ready() || config_.config().services.count(service) != 0;
 }
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -51,6 +51,7 @@
   void OnOperatorUpdate(OperatorUpdate update) override;
   bool OnServerEntry(const ServerEntry& entry) override;
   void OnServerRemoved(const ServerName& id) override;
+  bool HasAnnouncedLeaving(const ServerName& id) const override;
   bool MayBeService(const ServiceName& service) const override;
   void OnStoreEra(StoreEra era) override;
   void OnStoreUpdated() override;
--- a/src/libgateway/server_history.cc
+++ b/src/libgateway/server_history.cc
@@ -130,6 +130,12 @@
   return found != servers_.end() && now < found->second.contested_until;
 }
 
+void ServerHistory::OnLeavingAnnounced(const ServerName& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || found->second.state != State::kPresent) return;
+  found->second.state = State::kLeaving;
+}
+
 void ServerHistory::OnRemoved(const ServerName& id, StoreEra era, TimePoint now) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || found->second.state == State::kRemoved) return;
--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -38,6 +38,8 @@
   /// True when entries of two lifetimes have come so recently that another host may hold the wrong
   /// one.
   bool IsContested(const ServerName& id, TimePoint now) const;
+  /// The server has said in a response that it is leaving.
+  void OnLeavingAnnounced(const ServerName& id);
   /// The server counts as removed since this era.
   void OnRemoved(const ServerName& id, StoreEra era, TimePoint now);
 
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -291,6 +291,11 @@
   LogEvent(LogLevel::kInfo, "server_leaving_announced", {{"server", id.str()}});
 }
 
+bool ServerPool::HasAnnouncedLeaving(const ServerName& id) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && found->second.leaving_announced;
+}
+
 void ServerPool::OnPauseRequested(const ServerName& id, Duration pause, TimePoint now) {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -148,6 +148,7 @@
   /// Records the server's own statement that it is leaving. It gets no more requests from this host
   /// until it has restarted, whatever its entries say.
   void OnLeavingAnnounced(const ServerName& id);
+  bool HasAnnouncedLeaving(const ServerName& id) const;
   /// The server has asked for no requests for a time; a longer one that it asked for before holds.
   void OnPauseRequested(const ServerName& id, Duration pause, TimePoint now);
   /// When the first of the service's servers that asked for a pause may be used again; `now` when
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -229,6 +229,7 @@
     return;
   }
   const TimePoint now = MonotonicClock::now();
+  if (events_.HasAnnouncedLeaving(id)) history_.OnLeavingAnnounced(id);
   const auto held = history_.Accept(entry.value(), source, era_, now);
   if (!held) {
     LogEvent(LogLevel::kInfo, "server_entry_old",
--- a/src/libgateway/store_view.h
+++ b/src/libgateway/store_view.h
@@ -23,6 +23,9 @@
   /// Returns true when the entry changes the known state of the server.
   virtual bool OnServerEntry(const ServerEntry& entry) = 0;
   virtual void OnServerRemoved(const ServerName& id) = 0;
+  /// True when the server, in the lifetime last passed to OnServerEntry, has said in a response
+  /// that it is leaving.
+  virtual bool HasAnnouncedLeaving(const ServerName& id) const = 0;
   /// False when the configuration in force doesn't name the service.
   virtual bool MayBeService(const ServiceName& service) const = 0;
   /// The store was restored: it is in a newer era, and what was written last may be missing.
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -129,6 +129,29 @@
   CHECK(leaving.last_arrival() < left);
 }
 
+TEST_CASE_FIXTURE(
+    NodeFixture,
+    "a late entry of an unknown lifetime does not undo what a server has said in a response") {
+  FakeBackendServer leaving(io, "i-3", "s");
+  const std::string address = Open(leaving);
+  store.Put("keyed.servers", "i-1", std::nullopt);
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 2000));
+  AddNode();
+  REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
+  leaving.SetExtraHeaders("Server-Leaving: 1\r\n");
+  CHECK(Get(settings[0].callers, "/read/x").starts_with("HTTP/1.1 200"));
+  const TimePoint passed_on = MonotonicClock::now();
+  // Health checks would tell it again.
+  leaving.SetExtraHeaders("");
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 1000));
+  // Until a new lifetime would be warm.
+  for (int i = 0; i < 45; ++i) {
+    RunFor(io, milliseconds(100));
+    CHECK(Get(settings[0].callers, "/read/x").starts_with("HTTP/1.1 503"));
+  }
+  CHECK(leaving.last_arrival() < passed_on);
+}
+
 TEST_CASE_FIXTURE(NodeFixture,
                   "a server that says in a response that it is leaving gets no more requests") {
   FakeBackendServer leaving(io, "i-3", "s");
