Servers: hosts that only hear of changes hear of contested servers too

A host that had started just after the late write of a server's former lifetime took the server for ready, and sent it requests until it exited, although it had reported before that it was leaving.

Cause: the newest record that the host had read was the late one. The host that reads the store for the others knew better and relayed nothing, because the server's next entries changed nothing there.

For ten seconds after entries of two lifetimes have come, the reader relays all entries of that server, and also those of a lifetime that it does not use yet. A server writes every 1.5 s, so that is seven records for a server that has restarted.

Evidence: "a node that started after a late entry of a server learns that it is leaving" failed before, 6 of its checks, and passes.

--- a/src/libgateway/server_history.cc
+++ b/src/libgateway/server_history.cc
@@ -130,6 +130,12 @@
   return found != servers_.end() && now < found->second.contested_until;
 }
 
+bool ServerHistory::IsCandidate(const ServerEntry& entry) const {
+  const auto found = servers_.find(entry.id);
+  if (found == servers_.end() || !found->second.candidate) return false;
+  return found->second.candidate->started_at_ms == entry.started_at_ms;
+}
+
 void ServerHistory::OnLeavingAnnounced(const ServerName& id) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || found->second.state != State::kPresent) return;
--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -38,6 +38,8 @@
   /// True when entries of two lifetimes have come so recently that another host may hold the wrong
   /// one.
   bool IsContested(const ServerName& id, TimePoint now) const;
+  /// True for an entry of a lifetime that may come into use if it goes on writing.
+  bool IsCandidate(const ServerEntry& entry) const;
   /// The server has said in a response that it is leaving.
   void OnLeavingAnnounced(const ServerName& id);
   /// The server counts as removed since this era.
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -238,11 +238,13 @@
               {"sequence", entry.value().sequence},
               {"started_at_ms", entry.value().started_at_ms},
               {"from_copy", source == RecordSource::kNewest}});
+    if (relayed && history_.IsCandidate(entry.value())) server_changes_.push_back(record);
     return;
   }
   removal_policy_.OnEntryPresent(id);
   const bool changed = events_.OnServerEntry(*held);
-  if (relayed && (changed || now < relay_all_until_)) {
+  const bool others_may_differ = now < relay_all_until_ || history_.IsContested(id, now);
+  if (relayed && (changed || others_may_differ)) {
     server_changes_.push_back(record);
   }
 }
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -152,6 +152,40 @@
   CHECK(leaving.last_arrival() < passed_on);
 }
 
+TEST_CASE_FIXTURE(NodeFixture,
+                  "a node that started after a late entry of a server learns that it is leaving") {
+  const auto entry_of = [](const std::string& address, const std::string& state, int second,
+                           int sequence) {
+    std::string entry = EntryOfLifetime(address, state, second);
+    return entry.replace(entry.find("\"Seq\":1"), 7, "\"Seq\":" + std::to_string(sequence));
+  };
+  FakeBackendServer leaving(io, "i-3", "s");
+  const std::string address = Open(leaving);
+  store.Put("keyed.servers", "i-1", std::nullopt);
+  for (int i = 0; i < 3; ++i) AddNode();
+  store.Put("keyed.servers", "i-3", entry_of(address, "ready", 1000, 5));
+  REQUIRE(RunUntil(io, [&] { return IsReady(0) && IsReady(1) && IsReady(2); }));
+  store.Put("keyed.servers", "i-3", entry_of(address, "ready", 2000, 1));
+  RunFor(io, milliseconds(500));
+  store.Put("keyed.servers", "i-3", entry_of(address, "draining", 2000, 2));
+  RunFor(io, milliseconds(500));
+  store.Put("keyed.servers", "i-3", entry_of(address, "ready", 1000, 6));
+  AddNode();
+  REQUIRE(RunUntil(io, [&] { return IsReady(3); }));
+  RunFor(io, milliseconds(1000));
+  store.Put("keyed.servers", "i-3", entry_of(address, "draining", 2000, 3));
+  RunFor(io, milliseconds(800));
+  const TimePoint left = MonotonicClock::now();
+  for (int i = 0; i < 5; ++i) {
+    for (const auto& node : settings) {
+      CAPTURE(node.host);
+      CHECK(Get(node.callers, "/read/x").starts_with("HTTP/1.1 503"));
+    }
+    RunFor(io, milliseconds(50));
+  }
+  CHECK(leaving.last_arrival() < left);
+}
+
 TEST_CASE_FIXTURE(NodeFixture,
                   "a server that says in a response that it is leaving gets no more requests") {
   FakeBackendServer leaving(io, "i-3", "s");
