Servers: a late write does not bring back a server that was removed

A server that ended without a report that it is leaving, whose entry was removed, got requests again after the store had executed one of its entries late; on such a server requests are cut when it exits, later than DrainMs after its removal.

Cause: an entry of the same lifetime with a higher sequence number was taken as proof that a removed server is alive. A late write has one too.

A server whose entry is removed although it has just written has left. It must go on writing for longer than the pause between two entries before it is used again. One that is removed after a longer silence has lapsed, and is back with its first entry, as before. Both times follow from the interval of the servers' entries (`server_heartbeat_ms`), which was read and not used so far.

Evidence: "a late entry does not bring back a server that was removed" (two nodes) failed before, 31 of its 48 checks, and passes. Two tests of ServerHistory that expect a removed server back at once now say that it had lapsed, by a wait before the removal; the other case is new.

--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -104,7 +104,10 @@
       pool_(MakePoolOptions(settings, start)),
       fleet_(MakeFleetOptions(settings)),
       store_(io, settings.store_address),
-      store_view_(io, store_, adapter, {.leaving_bound = settings.leaving_bound}, *this),
+      store_view_(
+          io, store_, adapter,
+          {.leaving_bound = settings.leaving_bound, .server_heartbeat = settings.server_heartbeat},
+          *this),
       host_list_(
           io, store_, adapter, MakeHostRecord(settings),
           [this](const HostRecord& host) {
--- a/src/libgateway/server_history.cc
+++ b/src/libgateway/server_history.cc
@@ -8,13 +8,16 @@
 /// The store may execute a server's write some seconds after the server has sent it. A lifetime
 /// that has ended is silent after this time.
 constexpr Duration kMaxLateWrite = std::chrono::seconds(10);
-/// Longer than the pause between two entries of a server that is alive.
-constexpr Duration kMaxEntryPause = std::chrono::seconds(2);
 /// Former lifetimes that are remembered for each server; more don't end within kMaxLateWrite.
 constexpr std::size_t kMaxFormer = 4;
 
 }  // namespace
 
+ServerHistory::ServerHistory(std::size_t max_removed, Duration entry_interval)
+    : max_removed_(max_removed),
+      max_entry_pause_(entry_interval * 4 / 3),
+      min_lapse_time_(entry_interval * 8 / 3) {}
+
 std::optional<ServerEntry> ServerHistory::Accept(const ServerEntry& entry, RecordSource source,
                                                  StoreEra era, TimePoint now) {
   const auto [found, is_new] = servers_.try_emplace(entry.id);
@@ -39,8 +42,12 @@
 
 ServerHistory::Accepted ServerHistory::AcceptCurrent(Known& known, const ServerEntry& entry,
                                                      RecordSource source, StoreEra era,
-                                                     TimePoint now) {
+                                                     TimePoint now) const {
   if (MustIgnore(entry, known, source, era)) return std::nullopt;
+  if (known.state == State::kRemoved && known.removed_while_writing && !entry.leaving &&
+      now - known.current.heard_at < kMaxLateWrite && !GoesOnWriting(known, entry, now)) {
+    return std::nullopt;
+  }
   if (entry.sequence > known.current.sequence) {
     known.current.heard_again = true;
     known.candidate.reset();
@@ -56,7 +63,7 @@
 
 ServerHistory::Accepted ServerHistory::AcceptFormer(Known& known, Lifetime& former,
                                                     const ServerEntry& entry, StoreEra era,
-                                                    TimePoint now) {
+                                                    TimePoint now) const {
   if (entry.sequence <= former.sequence) return std::nullopt;
   if (former.heard_at <= known.current.heard_at) former.heard_since = now;
   former.sequence = entry.sequence;
@@ -64,7 +71,7 @@
   former.heard_again = true;
   const bool replaced_by_one_entry = !known.current.heard_again;
   if (now - known.current.heard_at >= kMaxLateWrite ||
-      (replaced_by_one_entry && now - former.heard_since >= kMaxEntryPause)) {
+      (replaced_by_one_entry && now - former.heard_since >= max_entry_pause_)) {
     return Replace(known, former, entry, era);
   }
   if (!replaced_by_one_entry || !entry.leaving) return std::nullopt;
@@ -76,25 +83,32 @@
 
 ServerHistory::Accepted ServerHistory::AcceptUnknown(Known& known, const ServerEntry& entry,
                                                      RecordSource source, StoreEra era,
-                                                     TimePoint now) {
+                                                     TimePoint now) const {
   // The newest record of a key after a restore, in place of what was known before it.
   const bool from_copy = source == RecordSource::kNewest && known.era < era;
-  const bool is_candidate =
-      known.candidate && known.candidate->started_at_ms == entry.started_at_ms;
-  if (is_candidate && entry.sequence <= known.candidate->sequence) return std::nullopt;
-  Lifetime next{entry.started_at_ms, entry.sequence, now, now};
-  if (is_candidate) {
-    next.heard_since = known.candidate->heard_since;
-    next.heard_again = true;
-  }
+  const bool is_candidate = IsCandidate(known, entry);
   if ((known.state == State::kPresent && !from_copy) ||
-      now - known.current.heard_at >= kMaxLateWrite || now - next.heard_since >= kMaxEntryPause) {
+      now - known.current.heard_at >= kMaxLateWrite || GoesOnWriting(known, entry, now)) {
+    const Lifetime next{entry.started_at_ms, entry.sequence, now, now, is_candidate};
     return Replace(known, next, entry, era);
   }
-  known.candidate = next;
   return std::nullopt;
 }
 
+bool ServerHistory::GoesOnWriting(Known& known, const ServerEntry& entry, TimePoint now) const {
+  Lifetime next{entry.started_at_ms, entry.sequence, now, now};
+  if (IsCandidate(known, entry)) {
+    if (entry.sequence <= known.candidate->sequence) return false;
+    next.heard_since = known.candidate->heard_since;
+  }
+  known.candidate = next;
+  return now - next.heard_since >= max_entry_pause_;
+}
+
+bool ServerHistory::IsCandidate(const Known& known, const ServerEntry& entry) {
+  return known.candidate && known.candidate->started_at_ms == entry.started_at_ms;
+}
+
 ServerHistory::Accepted ServerHistory::Replace(Known& known, const Lifetime& next,
                                                const ServerEntry& entry, StoreEra era) {
   const Lifetime added = next;
@@ -132,8 +146,8 @@
 
 bool ServerHistory::IsCandidate(const ServerEntry& entry) const {
   const auto found = servers_.find(entry.id);
-  if (found == servers_.end() || !found->second.candidate) return false;
-  return found->second.candidate->started_at_ms == entry.started_at_ms;
+  if (found == servers_.end() || !IsCandidate(found->second, entry)) return false;
+  return entry.started_at_ms != found->second.current.started_at_ms;
 }
 
 void ServerHistory::OnLeavingAnnounced(const ServerName& id) {
@@ -145,6 +159,7 @@
 void ServerHistory::OnRemoved(const ServerName& id, StoreEra era, TimePoint now) {
   const auto found = servers_.find(id);
   if (found == servers_.end() || found->second.state == State::kRemoved) return;
+  found->second.removed_while_writing = now - found->second.current.heard_at < min_lapse_time_;
   found->second.state = State::kRemoved;
   found->second.era = era;
   found->second.current.heard_at = now;
--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -21,13 +21,16 @@
 /// - One that was replaced has ended. If it goes on writing while the one that replaced it was
 /// heard
 ///   of only once, that one was a late entry.
+/// - One whose entry was removed while it still wrote has left; it must go on writing as well.
 /// - One that was never seen is a new one. If the server is known to leave or to be gone, it may
 /// also
 ///   be a former one, so it must go on writing while the known one is silent.
 class ServerHistory {
  public:
   /// `max_removed`: how many removed servers are remembered; the oldest are forgotten first.
-  explicit ServerHistory(std::size_t max_removed) : max_removed_(max_removed) {}
+  /// `entry_interval`: a server that is alive writes once in this time; its entry lapses after
+  /// three times as long.
+  ServerHistory(std::size_t max_removed, Duration entry_interval);
 
   /// Returns the entry that holds for the server now, empty when this one must be ignored. `era`:
   /// that of the store from which it comes.
@@ -67,23 +70,33 @@
     std::optional<Lifetime> candidate;
     std::vector<Lifetime> former;  ///< The last ones that were replaced, oldest first.
     TimePoint contested_until;
+    /// It was removed although it had just written, so it has left; an entry that lapses is older.
+    bool removed_while_writing = false;
   };
   using Accepted = std::optional<ServerEntry>;
 
-  static Accepted AcceptCurrent(Known& known, const ServerEntry& entry, RecordSource source,
-                                StoreEra era, TimePoint now);
-  static Accepted AcceptFormer(Known& known, Lifetime& former, const ServerEntry& entry,
-                               StoreEra era, TimePoint now);
-  static Accepted AcceptUnknown(Known& known, const ServerEntry& entry, RecordSource source,
-                                StoreEra era, TimePoint now);
+  Accepted AcceptCurrent(Known& known, const ServerEntry& entry, RecordSource source, StoreEra era,
+                         TimePoint now) const;
+  Accepted AcceptFormer(Known& known, Lifetime& former, const ServerEntry& entry, StoreEra era,
+                        TimePoint now) const;
+  Accepted AcceptUnknown(Known& known, const ServerEntry& entry, RecordSource source, StoreEra era,
+                         TimePoint now) const;
   static Accepted Replace(Known& known, const Lifetime& next, const ServerEntry& entry,
                           StoreEra era);
+  /// True when the entry shows that its lifetime goes on writing while the current one is silent;
+  /// otherwise notes it as the candidate.
+  bool GoesOnWriting(Known& known, const ServerEntry& entry, TimePoint now) const;
+  static bool IsCandidate(const Known& known, const ServerEntry& entry);
   /// Whether an entry of the current lifetime must be ignored.
   static bool MustIgnore(const ServerEntry& entry, const Known& known, RecordSource source,
                          StoreEra era);
   void ForgetOldest();
 
   std::size_t max_removed_;
+  /// Longer than the pause between two entries of a server that is alive.
+  Duration max_entry_pause_;
+  /// A silent server's entry does not lapse before this time.
+  Duration min_lapse_time_;
   std::map<ServerName, Known> servers_;
   std::deque<ServerName> removed_;  ///< In order of removal; may hold servers that returned.
 };
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -43,7 +43,7 @@
       events_(events),
       removal_policy_(kEntryGraceTime),
       data_centre_policy_(kEntryGraceTime),
-      history_(kRememberedServers),
+      history_(kRememberedServers, options.server_heartbeat),
       operators_(
           io, store, adapter, Topic::kOperator, {.wait = kOperatorReadWait},
           [this](const TopicRecord& record, RecordSource source) {
--- a/src/libgateway/store_view.h
+++ b/src/libgateway/store_view.h
@@ -41,6 +41,8 @@
 struct StoreViewOptions {
   /// Time within which every host must stop using a server that has announced that it is leaving.
   Duration leaving_bound{};
+  /// Interval at which a server writes its entry.
+  Duration server_heartbeat{};
 };
 
 /// This host's view of the operators' and the servers' topics. Few hosts read the store and relay
--- a/tests/gateway/server_history_test.cc
+++ b/tests/gateway/server_history_test.cc
@@ -33,7 +33,7 @@
   }
   void Wait(int milliseconds) { now += std::chrono::milliseconds(milliseconds); }
   void Remove(std::uint64_t era = 1) { history.OnRemoved(ServerName("a"), StoreEra(era), now); }
-  ServerHistory history{4};
+  ServerHistory history{4, std::chrono::milliseconds(1500)};
   TimePoint now = TimePoint(std::chrono::seconds(100));
 };
 
@@ -60,6 +60,8 @@
 
 TEST_CASE_FIXTURE(Fixture, "a removed server stays removed until it writes again") {
   CHECK(Log(Entry(5)));
+  // It lapsed.
+  Wait(5000);
   Remove();
   // The last sequence number before the removal is not known to hosts that don't read the store.
   CHECK_FALSE(Newest(Entry(9), 2));
@@ -70,6 +72,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "without a restore, the newest records hold") {
   CHECK(Log(Entry(5)));
+  Wait(5000);
   Remove();
   CHECK(Newest(Entry(6), 1));
 }
@@ -183,6 +186,19 @@
   }
 }
 
+TEST_CASE_FIXTURE(Fixture, "a late entry does not bring back a server that left while it wrote") {
+  CHECK(Log(Entry(5)));
+  Wait(2500);
+  Remove();
+  CHECK_FALSE(Log(Entry(6)));
+  Wait(500);
+  CHECK_FALSE(Log(Entry(6)));
+  CHECK_FALSE(Log(Entry(7)));
+  Wait(1500);
+  // It is alive after all.
+  CHECK(Log(Entry(8)));
+}
+
 TEST_CASE_FIXTURE(Fixture, "a late report of a former lifetime that it is leaving is ignored") {
   CHECK(Log(Entry(5, false, 200)));
   CHECK(Log(Entry(1, false, 100)));
--- a/tests/platform/node_test.cc
+++ b/tests/platform/node_test.cc
@@ -76,8 +76,10 @@
 }
 
 /// An entry of a server of service `s` that started at this second.
-std::string EntryOfLifetime(const std::string& address, const std::string& state, int second) {
+std::string EntryOfLifetime(const std::string& address, const std::string& state, int second,
+                            int sequence = 1) {
   std::string entry = EntryText("s", address, state);
+  entry.replace(entry.find("\"Seq\":1"), 7, "\"Seq\":" + std::to_string(sequence));
   return entry.replace(entry.find("1700000000123"), 13, "170000000" + std::to_string(second));
 }
 
@@ -129,6 +131,31 @@
   CHECK(leaving.last_arrival() < left);
 }
 
+TEST_CASE_FIXTURE(NodeFixture, "a late entry does not bring back a server that was removed") {
+  FakeBackendServer leaving(io, "i-3", "s");
+  const std::string address = Open(leaving);
+  store.Put("keyed.servers", "i-1", std::nullopt);
+  AddNode();
+  AddNode();
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 1000));
+  REQUIRE(RunUntil(io, [&] { return IsReady(0) && IsReady(1); }));
+  // After its start, a node waits for entries that may have lapsed.
+  RunFor(io, milliseconds(3000));
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 1000, 2));
+  RunFor(io, milliseconds(900));
+  store.Put("keyed.servers", "i-3", std::nullopt);
+  RunFor(io, milliseconds(900));
+  const TimePoint left = MonotonicClock::now();
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 1000, 3));
+  for (int i = 0; i < 20; ++i) {
+    for (const auto& node : settings) {
+      CHECK(Get(node.callers, "/read/x").starts_with("HTTP/1.1 503"));
+    }
+    RunFor(io, milliseconds(50));
+  }
+  CHECK(leaving.last_arrival() < left);
+}
+
 TEST_CASE_FIXTURE(
     NodeFixture,
     "a late entry of an unknown lifetime does not undo what a server has said in a response") {
@@ -154,26 +181,21 @@
 
 TEST_CASE_FIXTURE(NodeFixture,
                   "a node that started after a late entry of a server learns that it is leaving") {
-  const auto entry_of = [](const std::string& address, const std::string& state, int second,
-                           int sequence) {
-    std::string entry = EntryOfLifetime(address, state, second);
-    return entry.replace(entry.find("\"Seq\":1"), 7, "\"Seq\":" + std::to_string(sequence));
-  };
   FakeBackendServer leaving(io, "i-3", "s");
   const std::string address = Open(leaving);
   store.Put("keyed.servers", "i-1", std::nullopt);
   for (int i = 0; i < 3; ++i) AddNode();
-  store.Put("keyed.servers", "i-3", entry_of(address, "ready", 1000, 5));
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 1000, 5));
   REQUIRE(RunUntil(io, [&] { return IsReady(0) && IsReady(1) && IsReady(2); }));
-  store.Put("keyed.servers", "i-3", entry_of(address, "ready", 2000, 1));
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 2000, 1));
   RunFor(io, milliseconds(500));
-  store.Put("keyed.servers", "i-3", entry_of(address, "draining", 2000, 2));
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "draining", 2000, 2));
   RunFor(io, milliseconds(500));
-  store.Put("keyed.servers", "i-3", entry_of(address, "ready", 1000, 6));
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "ready", 1000, 6));
   AddNode();
   REQUIRE(RunUntil(io, [&] { return IsReady(3); }));
   RunFor(io, milliseconds(1000));
-  store.Put("keyed.servers", "i-3", entry_of(address, "draining", 2000, 3));
+  store.Put("keyed.servers", "i-3", EntryOfLifetime(address, "draining", 2000, 3));
   RunFor(io, milliseconds(800));
   const TimePoint left = MonotonicClock::now();
   for (int i = 0; i < 5; ++i) {
