Gateway: the grace period of a stop runs from the signal

An operator of a similar system saw, in a planned stop of one machine, requests that were taken late in the grace time and cut at its end with no answer. Here it could happen on a host that is busy or suspended when it is stopped.

Cause: the end of the grace period was counted from the moment at which the signal was handled. A process that got to it after 1.5 s of a grace period of 4 s planned to answer what was unfinished 1.1 s after it would be killed; requests accepted by that plan were cut.

The periodic tick tells how long the process has not had time. If it is overdue, the signal may have come as early, so the process exits, and accepts requests, by the earlier time. Callers that still have its address are served as long as fits. `stopping` has `late_ms`.

Evidence: "a node that is busy when it is stopped answers before it is killed" failed before (not ended at the end of the grace period, no answer), and passes (504 for the request that the server doesn't answer).

--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -390,6 +390,7 @@
   FlushLog();
   if (exiting_) return;
   if (shutdown_) ContinueShutdown(now);
+  next_tick_at_ = now + kTickInterval;
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) Tick();
@@ -441,9 +442,14 @@
 void GatewayNode::Stop() {
   if (shutdown_) return;
   shutdown_started_at_ = MonotonicClock::now();
-  shutdown_.emplace(shutdown_started_at_, settings_.grace);
+  // A tick that is overdue shows that the process was busy or suspended. The signal may have come
+  // then, and the grace period runs from the signal.
+  const TimePoint signalled_at = std::min(shutdown_started_at_, next_tick_at_);
+  shutdown_.emplace(signalled_at, settings_.grace, shutdown_started_at_);
   LogEvent(LogLevel::kInfo, "stopping",
-           {{"connections", caller_server_.connections()}, {"requests", forwarder_.calls()}});
+           {{"connections", caller_server_.connections()},
+            {"requests", forwarder_.calls()},
+            {"late_ms", ToMilliseconds(shutdown_started_at_ - signalled_at)}});
   caller_server_.SetDraining();
   forwarder_.SetShutdown(*shutdown_);
   UpdateFleetState(shutdown_started_at_);
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -102,6 +102,7 @@
   asio::steady_timer heartbeat_timer_;
   asio::steady_timer exit_timer_;
   TimePoint started_at_;
+  TimePoint next_tick_at_ = TimePoint::max();
   /// Set once the host shuts down.
   std::optional<ShutdownPolicy> shutdown_;
   TimePoint shutdown_started_at_;
--- a/src/libgateway/shutdown_policy.cc
+++ b/src/libgateway/shutdown_policy.cc
@@ -19,10 +19,10 @@
 
 }  // namespace
 
-ShutdownPolicy::ShutdownPolicy(TimePoint started, Duration grace) {
-  const Duration longest = FractionOf(grace, kMaxShutdownFraction);
-  exit_at_ = started + longest;
-  accepts_all_until_ = started + std::min(kServingTime, FractionOf(longest, kMaxServingFraction));
+ShutdownPolicy::ShutdownPolicy(TimePoint signalled, Duration grace, TimePoint handled) {
+  exit_at_ = std::max(handled, signalled + FractionOf(grace, kMaxShutdownFraction));
+  const Duration longest = exit_at_ - handled;
+  accepts_all_until_ = handled + std::min(kServingTime, FractionOf(longest, kMaxServingFraction));
 }
 
 ShutdownStep ShutdownPolicy::StepAt(TimePoint now) const {
--- a/src/libgateway/shutdown_policy.h
+++ b/src/libgateway/shutdown_policy.h
@@ -17,8 +17,9 @@
 /// safety: any thread.
 class ShutdownPolicy {
  public:
-  /// The process is killed at the end of the grace period.
-  ShutdownPolicy(TimePoint started, Duration grace);
+  /// The process is killed at the end of the grace period, which runs from the signal. `handled`:
+  /// when a busy process gets to it.
+  ShutdownPolicy(TimePoint signalled, Duration grace, TimePoint handled);
 
   ShutdownStep StepAt(TimePoint now) const;
   /// When the host exits at the latest.
--- a/tests/platform/shutdown_test.cc
+++ b/tests/platform/shutdown_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -166,5 +167,30 @@
   CHECK(incomplete.received.starts_with("HTTP/1.1 503"));
 }
 
+TEST_CASE_FIXTURE(NodeFixture,
+                  "a node that is busy when it is stopped answers before it is killed") {
+  AddNode();
+  std::string text = ConfigText(2, "s");
+  text.replace(text.find("800"), 3, "9000");
+  store.Put("keyed.op", "config", text);
+  REQUIRE(RunUntil(io, [&] { return IsReady(0); }));
+  RunFor(io, milliseconds(200));
+  server_one.SetMode(BackendMode::kDropsResponses);
+  TestCaller running(io);
+  running.Connect(settings[0].callers);
+  running.Write("GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a\r\n\r\n");
+  REQUIRE(RunUntil(io, [&] { return server_one.runs().count("a") == 1; }));
+  // The signal comes now, and is handled once the process has time.
+  const TimePoint killed_at = MonotonicClock::now() + settings[0].grace;
+  std::this_thread::sleep_for(milliseconds(1500));
+  nodes[0]->Stop();
+  io.run_until(killed_at);
+  CHECK(io.stopped());
+  io.restart();
+  nodes[0].reset();
+  REQUIRE(RunUntil(io, [&] { return running.ended; }));
+  CHECK(running.received.starts_with("HTTP/1.1 504"));
+}
+
 }  // namespace
 }  // namespace mulberry::platform
