--- a/tests/platform/shutdown_test.cc
+++ b/tests/platform/shutdown_test.cc
@@ -109,6 +109,18 @@
     server_one.SetServiceTime(milliseconds(600));
     pause = milliseconds(300);
   }
+  SUBCASE("with a route whose timeout is longer than the grace period") {
+    server_one.SetServiceTime(milliseconds(400));
+    std::string text = ConfigText(2, "s");
+    text.replace(text.find("800"), 3, "9000");
+    store.Put("keyed.op", "config", text);
+    RunFor(io, milliseconds(1000));
+  }
+  int reloads_left = 0;
+  SUBCASE("beside reloads and changes of the configuration") {
+    server_one.SetServiceTime(milliseconds(400));
+    reloads_left = 5;
+  }
   PersistentCallers callers(io, settings[0].callers, 8, pause);
   const TimePoint stopped_at = MonotonicClock::now() + milliseconds(500);
   int sent_before_stop = 0;
@@ -119,6 +131,14 @@
       sent_before_stop = callers.sent();
       nodes[0]->Stop();
     }
+    if (reloads_left > 0 &&
+        MonotonicClock::now() >= stopped_at + seconds(1) / 2 * (6 - reloads_left)) {
+      gateway::GatewaySettings changed = settings[0];
+      changed.grace = seconds(1 + reloads_left);
+      nodes[0]->Reload(changed);
+      store.Put("keyed.op", "config", ConfigText(20 - reloads_left, "s"));
+      --reloads_left;
+    }
     callers.Step();
     io.run_for(milliseconds(10));
   }
