Servers: two late entries of an unknown lifetime don't settle it either

Found while reading again: after two entries of a former lifetime that this host had not seen, executed late one after the other, the present lifetime counted as replaced for good, so its report that it is leaving was ignored for up to ten seconds.

Cause: a second entry settled which lifetime holds, whatever came in between and however soon.

A lifetime that replaces another is settled once it has gone on writing for longer than a server's pause between entries while the replaced one was silent; entries of both are counted in their order, since several can come with one read.

"a late report of a former lifetime that it is leaving is ignored" now sends the third entry that settles the present one.

--- a/src/libgateway/server_history.h
+++ b/src/libgateway/server_history.h
@@ -16,15 +16,12 @@
 /// may be of a lifetime that has ended, and a restored store may hold entries from before the
 /// server left. Also keeps a server in its service within a lifetime. Does no I/O. Not thread safe.
 ///
-/// Lifetimes are told apart by their start times but not ordered by them, since clocks are set
-/// back:
-/// - One that was replaced has ended. If it goes on writing while the one that replaced it was
-/// heard
-///   of only once, that one was a late entry.
-/// - One whose entry was removed while it still wrote has left; it must go on writing as well.
-/// - One that was never seen is a new one. If the server is known to leave or to be gone, it may
-/// also
-///   be a former one, so it must go on writing while the known one is silent.
+/// Start times tell lifetimes apart but not their order, since clocks are set back:
+/// - A lifetime that was replaced has ended, once its successor has gone on writing while it was
+///   silent. Until then, the successor may have been a late entry of an earlier lifetime.
+/// - A lifetime whose entry was removed while it still wrote has left, and must go on writing.
+/// - A lifetime that was never seen is a new one. If the server is leaving or gone, it may also be
+///   a former one, and must go on writing while the known one is silent.
 class ServerHistory {
  public:
   /// `max_removed`: how many removed servers are remembered; the oldest are forgotten first.
@@ -58,7 +55,8 @@
     /// When it was first heard of after the last entry of another lifetime.
     TimePoint heard_since;
     TimePoint heard_at;
-    bool heard_again = false;  ///< More than one entry of it has come.
+    std::uint64_t heard_as = 0;  ///< Number of its last entry among all entries of the server.
+    bool settled = false;        ///< It has gone on writing while those before it were silent.
   };
   struct Known {
     State state = State::kPresent;
@@ -69,6 +67,7 @@
     /// Not known before, and not in use yet.
     std::optional<Lifetime> candidate;
     std::vector<Lifetime> former;  ///< The last ones that were replaced, oldest first.
+    std::uint64_t entries = 0;
     TimePoint contested_until;
     /// It was removed although it had just written, so it has left; an entry that lapses is older.
     bool removed_while_writing = false;
--- a/tests/gateway/server_history_test.cc
+++ b/tests/gateway/server_history_test.cc
@@ -178,6 +178,8 @@
     CHECK(goes_on.Held(Entry(8, false, 200)) == std::pair(true, std::int64_t{200}));
     CHECK_FALSE(goes_on.Held(Entry(2, true, former)));
 
+    // A second late one.
+    CHECK(leaves.Log(Entry(2, false, former)));
     CHECK(leaves.Held(Entry(6, true, 200)) == std::pair(false, former));
     leaves.Wait(1500);
     CHECK(leaves.Held(Entry(7, true, 200)) == std::pair(false, former));
@@ -204,6 +206,8 @@
   CHECK(Log(Entry(1, false, 100)));
   Wait(1500);
   CHECK(Log(Entry(2, false, 100)));
+  Wait(1500);
+  CHECK(Log(Entry(3, false, 100)));
   CHECK_FALSE(Log(Entry(6, true, 200)));
   Wait(1500);
   CHECK_FALSE(Log(Entry(7, true, 200)));
