--- a/tests/gateway/forwarder_test.cc
+++ b/tests/gateway/forwarder_test.cc
@@ -1,17 +1,12 @@
-#include "libgateway/forwarder.h"
-
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 #include "allocation_counter.h"
-#include "fake_adapter.h"
-#include "scripted_server.h"
-#include "test_caller.h"
+#include "forwarder_fixture.h"
 
 namespace mulberry::gateway {
 namespace {
@@ -19,8 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ServiceName search_service("search");
-
 /// A caller's connection that is not read.
 struct SilentCaller {
   SilentCaller(asio::io_context& io, std::uint16_t port) : socket(io) {
@@ -29,118 +22,8 @@
   asio::ip::tcp::socket socket;
 };
 
-/// A forwarder with two scripted servers.
-struct Fixture {
-  Fixture()
-      : pool({.data_centre = DataCentreName("here")}),
-        first(io),
-        second(io),
-        forwarder({io,
-                   adapter,
-                   config,
-                   pool,
-                   metrics,
-                   memory,
-                   {.ratio = 0.2, .window = seconds(10), .slack = 1000}}),
-        server(io, forwarder, &memory),
-        caller(io) {
-    Config initial;
-    initial.version = ConfigVersion(1);
-    for (const bool idempotent : {true, false}) {
-      Route route;
-      route.name = idempotent ? "read" : "write";
-      route.host = "h.example";
-      route.path_prefix = idempotent ? "/read/" : "/write/";
-      route.idempotent = idempotent;
-      route.timeout = milliseconds(600);
-      route.latency_target = milliseconds(300);
-      route.max_attempts = 2;
-      route.shares = {{search_service, 1}};
-      initial.routes.push_back(route);
-    }
-    initial.services[search_service] = {.name = search_service, .health_path = "/health"};
-    pool.SetServices(initial.services);
-    REQUIRE(config.Update(std::move(initial)));
-    AddServer("a", first.address());
-    AddServer("b", second.address());
-    forwarder.SetServer(&server);
-    forwarder.SetSlackShare(1);
-    port = FreePort();
-    REQUIRE(server.Open("127.0.0.1", port));
-    caller.Connect(port);
-  }
-
-  void AddServer(const std::string& id, const std::string& address) {
-    ServerEntry entry;
-    entry.id = ServerName(id);
-    entry.service = search_service;
-    entry.address = address;
-    entry.data_centre = DataCentreName("here");
-    entry.slots = 4;
-    pool.Put(entry, MonotonicClock::now());
-  }
-
-  void SendRequest(const std::string& method, const std::string& path,
-                   const std::string& extra = "") {
-    caller.Write(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nId: 7\r\n" + extra +
-                 "\r\n");
-  }
-
-  /// Waits for the next request at either server and returns its connection.
-  std::shared_ptr<ScriptedServer::Connection> NextServerConnection() {
-    std::shared_ptr<ScriptedServer::Connection> found;
-    const bool came = RunUntil(io, [&] {
-      for (ScriptedServer* scripted : {&first, &second}) {
-        for (const auto& connection : scripted->connections) {
-          if (connection->received.find("\r\n\r\n") == std::string::npos) continue;
-          if (!seen.insert(connection.get()).second) continue;
-          found = connection;
-          return true;
-        }
-      }
-      return false;
-    });
-    REQUIRE(came);
-    return found;
-  }
-
-  void WaitForText(const std::string& text) {
-    CAPTURE(text);
-    CAPTURE(caller.received);
-    REQUIRE(RunUntil(io, [&] { return caller.received.find(text) != std::string::npos; }));
-  }
-
-  std::size_t RequestsAtServers() const {
-    std::size_t count = 0;
-    for (const ScriptedServer* scripted : {&first, &second}) {
-      for (const auto& connection : scripted->connections) {
-        if (!connection->received.empty()) ++count;
-      }
-    }
-    return count;
-  }
-
-  static std::string Answer(int status, const std::string& body, const std::string& extra = "") {
-    return "HTTP/1.1 " + std::to_string(status) + " Text\r\nId: 7\r\nSignature: s1\r\n" + extra +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  }
-
-  asio::io_context io;
-  FakeAdapter adapter;
-  ActiveConfig config;
-  ServerPool pool;
-  GatewayMetrics metrics;
-  MemoryBudget memory{8 << 20};
-  ScriptedServer first;
-  ScriptedServer second;
-  Forwarder forwarder;
-  CallerServer server;
-  TestCaller caller;
-  std::uint16_t port = 0;
-  std::set<const void*> seen;
-};
-
-TEST_CASE_FIXTURE(Fixture, "a request reaches a server with the target id and the remaining time") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "a request reaches a server with the target id and the remaining time") {
   SendRequest("POST", "/write/1?x=2",
               "Left: 500\r\nContent-Length: 3\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
               "X-End: 2\r\n");
@@ -161,7 +44,7 @@
   CHECK(caller.received.find("Signature: s1") != std::string::npos);
 }
 
-TEST_CASE_FIXTURE(Fixture, "an idempotent request is retried after a truncated response") {
+TEST_CASE_FIXTURE(ForwarderFixture, "an idempotent request is retried after a truncated response") {
   SendRequest("GET", "/read/1");
   const auto at = NextServerConnection();
   at->Write("HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 9\r\n\r\nhalf");
@@ -173,7 +56,8 @@
   CHECK(caller.received.find("half") == std::string::npos);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a non-idempotent request whose response was lost is not retried") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "a non-idempotent request whose response was lost is not retried") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
   SUBCASE("reset") { at->Reset(); }
@@ -188,7 +72,7 @@
   CHECK(RequestsAtServers() == 1);
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(ForwarderFixture,
                   "a non-idempotent request that provably did not run goes to another server") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
@@ -201,7 +85,7 @@
   WaitForText("done");
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(ForwarderFixture,
                   "if all servers shed, the caller gets 503 and a time after which to "
                   "retry") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
@@ -213,7 +97,7 @@
   CHECK(caller.received.find("Retry-After: ") != std::string::npos);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a late second response never reaches the next caller") {
+TEST_CASE_FIXTURE(ForwarderFixture, "a late second response never reaches the next caller") {
   pool.Remove(ServerName("b"));
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
@@ -249,7 +133,7 @@
   CHECK(caller.received.find("stale") == std::string::npos);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a refusal without an id on a used connection proves nothing") {
+TEST_CASE_FIXTURE(ForwarderFixture, "a refusal without an id on a used connection proves nothing") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
   at->Write(Answer(200, "first"));
@@ -266,7 +150,8 @@
   CHECK(RequestsAtServers() == 1);
 }
 
-TEST_CASE_FIXTURE(Fixture, "bytes without end that are no response end with the route's timeout") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "bytes without end that are no response end with the route's timeout") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
   std::string start;
@@ -333,7 +218,8 @@
   CHECK(forwarder.calls() == 0);
 }
 
-TEST_CASE_FIXTURE(Fixture, "an upload arrives whole and once, or the caller learns the truth") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "an upload arrives whole and once, or the caller learns the truth") {
   CallerLimits limits;
   limits.max_body_bytes = 4 << 20;
   server.SetLimits(limits);
@@ -439,7 +325,8 @@
   CHECK(RunUntil(io, [&] { return memory.used() == 0; }));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a server that becomes silent or unlisted keeps its running request") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "a server that becomes silent or unlisted keeps its running request") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
   const ServerName id(first.connections.empty() ? "b" : "a");
@@ -465,7 +352,7 @@
   WaitForText("done");
 }
 
-TEST_CASE_FIXTURE(Fixture, "a server with an unusable address costs no request") {
+TEST_CASE_FIXTURE(ForwarderFixture, "a server with an unusable address costs no request") {
   SUBCASE("another server gets it") {
     pool.Remove(ServerName("a"));
     for (int i = 0; i < 3; ++i) AddServer("odd-" + std::to_string(i), "127.0.0.1:99999");
@@ -485,7 +372,7 @@
   CHECK(caller.received.starts_with("HTTP/1.1 200 "));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a slow idempotent request is sent to a second server, once") {
+TEST_CASE_FIXTURE(ForwarderFixture, "a slow idempotent request is sent to a second server, once") {
   SendRequest("GET", "/read/1");
   const auto slow = NextServerConnection();
   const auto fast = NextServerConnection();
@@ -498,7 +385,7 @@
   CHECK(forwarder.calls() == 0);
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(ForwarderFixture,
                   "a slow non-idempotent request gets 504 at the route's timeout, which "
                   "does not claim that it did not run") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
@@ -511,7 +398,8 @@
   CHECK(RequestsAtServers() == 1);
 }
 
-TEST_CASE_FIXTURE(Fixture, "at the exit, what may have run gets 504 and what waits gets 503") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "at the exit, what may have run gets 504 and what waits gets 503") {
   constexpr std::size_t kSlots = 8;
   std::vector<std::unique_ptr<TestCaller>> callers;
   const auto send = [&] {
@@ -537,7 +425,7 @@
   }
 }
 
-TEST_CASE_FIXTURE(Fixture, "when the caller leaves, the server's connection is closed") {
+TEST_CASE_FIXTURE(ForwarderFixture, "when the caller leaves, the server's connection is closed") {
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto at = NextServerConnection();
   caller.Close();
@@ -545,7 +433,7 @@
   CHECK(forwarder.calls() == 0);
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(ForwarderFixture,
                   "a server's error response is relayed when no time is left for a retry") {
   SendRequest("GET", "/read/1", "Left: 40\r\n");
   const auto at = NextServerConnection();
@@ -555,7 +443,7 @@
   CHECK(caller.received.find("Signature: s1") != std::string::npos);
 }
 
-TEST_CASE_FIXTURE(Fixture, "an unknown path is 404, and a request without a host is 400") {
+TEST_CASE_FIXTURE(ForwarderFixture, "an unknown path is 404, and a request without a host is 400") {
   SUBCASE("path") {
     SendRequest("GET", "/elsewhere/1");
     WaitForText("HTTP/1.1 404 ");
@@ -567,7 +455,7 @@
   CHECK(RequestsAtServers() == 0);
 }
 
-TEST_CASE_FIXTURE(Fixture,
+TEST_CASE_FIXTURE(ForwarderFixture,
                   "what a part of a split can't take is refused, not moved to another part") {
   Config split = config.config();
   split.version = ConfigVersion(2);
@@ -592,7 +480,8 @@
   CHECK(RequestsAtServers() == kRequests / 2);
 }
 
-TEST_CASE_FIXTURE(Fixture, "without a server that accepts requests the caller gets 503 at once") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "without a server that accepts requests the caller gets 503 at once") {
   pool.Remove(ServerName("a"));
   pool.Remove(ServerName("b"));
   const TimePoint sent_at = MonotonicClock::now();
@@ -619,7 +508,7 @@
   CHECK(RunUntil(io, [&] { return caller.received.find("HTTP/1.1 503 ") == 0; }));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a response for a caller that does not read is held once") {
+TEST_CASE_FIXTURE(ForwarderFixture, "a response for a caller that does not read is held once") {
   constexpr std::size_t kPieceBytes = 64 * 1024;
   constexpr std::size_t kPieces = 96;
   constexpr std::size_t kSlack = 1 << 20;
@@ -649,7 +538,8 @@
   CHECK(RunUntil(io, [&] { return memory.used() == 0; }));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a body without an end does not cost other requests their responses") {
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "a body without an end does not cost other requests their responses") {
   constexpr std::size_t kPieceBytes = 16 * 1024;
   SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
   const auto endless = NextServerConnection();
