Gateway: log the address of a failed attempt

Two entries may name one address while a former one has not lapsed, so the server's name does not show whether a second attempt went to the address of the first. Needed to tell a second copy of a refusal from a second refusal; OPERATIONS.md says how.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -315,6 +315,7 @@
   LogEvent(LogLevel::kInfo, "attempt_failed",
            {{"request", call.request_id},
             {"server", attempt.server.str()},
+            {"address", attempt.address},
             {"end", AttemptOutcomeName(end)},
             {"status", answer.response.status},
             {"error", answer.error},
