Gateway: the attempts of a call don't share a connection

Callers saw 503 (misdirected, no_server) for a non-idempotent request that a server had run, or, with three attempts, a request ran twice.

Cause: the id tells the responses on a connection apart, but a request could be on one connection twice. After a refusal the connection is kept, and where a server has come back under another id at its address and the former entry has not lapsed, the next attempt may go there. A second copy of the first refusal then has the right id, and was believed for the second attempt.

Evidence: the new test failed before in both cases (421, and 503 with the statement), with 503 to the caller for a request that was answered 200 afterwards.

A further attempt at an address that the call has tried gets a new connection, on which no response to an earlier attempt can arrive. First attempts use kept connections as before.

--- a/src/libgateway/connection_pool.cc
+++ b/src/libgateway/connection_pool.cc
@@ -49,6 +49,10 @@
     if (idle->reusable() && !IdleTooLong(*idle, now) && idle->SocketIsIdle()) return idle;
     idle->Close();
   }
+  return Open(address);
+}
+
+Result<std::shared_ptr<HttpClientConnection>> ConnectionPool::Open(const std::string& address) {
   auto endpoint = ParseEndpoint(address);
   if (!endpoint) return endpoint.error();
   ++connections_opened_;
--- a/src/libgateway/connection_pool.h
+++ b/src/libgateway/connection_pool.h
@@ -26,6 +26,8 @@
   /// has not closed it; a new one otherwise. Errors: the address can't be parsed.
   Result<std::shared_ptr<HttpClientConnection>> Acquire(const std::string& address,
                                                         Duration max_idle);
+  /// Returns a new connection, whatever idle ones there are. Errors: the address can't be parsed.
+  Result<std::shared_ptr<HttpClientConnection>> Open(const std::string& address);
   /// Returns a connection to the pool; one that can't be reused is closed.
   void Release(const std::string& address, const std::shared_ptr<HttpClientConnection>& connection);
   /// Closes the idle connections to an address.
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -232,9 +232,17 @@
   dispatching_ = false;
 }
 
+Result<std::shared_ptr<HttpClientConnection>> Forwarder::ConnectionFor(const Call& call,
+                                                                       const std::string& address) {
+  // The request id tells the responses on a connection apart, so no connection carries two attempts
+  // of one call: the response to the first may be repeated.
+  if (call.tried_addresses.count(address) != 0) return links_.Open(address);
+  return links_.Acquire(address,
+                        call.state.idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent);
+}
+
 void Forwarder::Send(Call& call, const Selection& choice, bool hedge, TimePoint now) {
-  const Duration max_idle = call.state.idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent;
-  auto link = links_.Acquire(choice.address, max_idle);
+  auto link = ConnectionFor(call, choice.address);
   if (!link) {
     LogEvent(LogLevel::kError, "server_address_unusable",
              {{"server", choice.id.str()}, {"error", link.error().message}});
@@ -247,6 +255,7 @@
   ++call.state.attempts;
   ++call.state.running;
   call.tried.insert(choice.id);
+  call.tried_addresses.insert(choice.address);
   queues_[call.service].OnDispatch(now);
   ExchangeRequest request;
   request.head = WriteServerRequestHead(call.request, call.body->size(), deps_.adapter.headers(),
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -90,6 +90,7 @@
     TimePoint deadline;
     CallState state;
     std::set<ServerName> tried;
+    std::set<std::string> tried_addresses;
     std::vector<Attempt> running;
     TimePoint hedge_at = TimePoint::max();
     bool answered = false;  ///< The caller has its response; only late attempts remain.
@@ -103,6 +104,8 @@
   void TryDispatch(Call& call, bool hedge, TimePoint now);
   void Enqueue(Call& call, NoServerReason reason, TimePoint now);
   void Dequeue(Call& call);
+  Result<std::shared_ptr<HttpClientConnection>> ConnectionFor(const Call& call,
+                                                              const std::string& address);
   void Send(Call& call, const Selection& choice, bool hedge, TimePoint now);
   void OnAttemptEnd(CallId id, AttemptId attempt, ExchangeResult answer);
   void LogAttemptFailure(const Call& call, const Attempt& attempt, AttemptOutcome end,
--- /dev/null
+++ b/tests/gateway/not_run_test.cc
@@ -0,0 +1,52 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "forwarder_fixture.h"
+
+namespace mulberry::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Waits for the second arrival of a request at the server and returns its connection.
+std::shared_ptr<ScriptedServer::Connection> SecondArrival(asio::io_context& io,
+                                                          const ScriptedServer& server,
+                                                          const std::string& request_line) {
+  std::shared_ptr<ScriptedServer::Connection> last;
+  REQUIRE(RunUntil(io, [&] {
+    int arrivals = 0;
+    for (const auto& connection : server.connections) {
+      for (std::size_t at = connection->received.find(request_line); at != std::string::npos;
+           at = connection->received.find(request_line, at + 1)) {
+        ++arrivals;
+        last = connection;
+      }
+    }
+    return arrivals == 2;
+  }));
+  return last;
+}
+
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "a repeated refusal does not answer a second attempt at the same address") {
+  pool.Remove(ServerName("b"));
+  AddServer("b", first.address());
+  SendRequest("POST", "/write/1", "Content-Length: 0\r\n");
+  const auto at = NextServerConnection();
+  std::string refusal;
+  SUBCASE("misdirected") { refusal = "HTTP/1.1 421 Other\r\nId: 7\r\nContent-Length: 0\r\n\r\n"; }
+  SUBCASE("shed") {
+    refusal = "HTTP/1.1 503 Busy\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  }
+  at->Write(refusal);
+  const auto again = SecondArrival(io, first, "POST /write/1 ");
+  at->Write(refusal);
+  RunFor(io, milliseconds(20));
+  again->Write(Answer(200, "done"));
+  WaitForText("HTTP/1.1 ");
+  CHECK(caller.received.starts_with("HTTP/1.1 200 "));
+}
+
+}  // namespace
+}  // namespace mulberry::gateway
