Entry host: a refusal by a group does not make an earlier attempt count as not run

Callers were told not-run (503) for an idempotent request that another entry host may have run.

Cause: a request whose forward to another data centre is lost counts as one that may have run. When a group of the own data centre then refused it, the group's word, which covers its own attempts only, replaced what the router knew. The same class as before: a promise decided from a part of what is known. Non-idempotent requests were not affected: they are not sent on once their claim was forwarded.

Evidence: the new test (a lost forward, then servers that refuse) got not-run and 503 before; it gets may-have-run and 504 now. By reading, no other place lowers may_have_run.

--- a/src/libentry/request_router_actions.cc
+++ b/src/libentry/request_router_actions.cc
@@ -99,7 +99,8 @@
 void RequestRouter::Execute(GroupKey, const RefuseRequest& group_action, Instant now,
                             EntryActions& actions) {
   PendingRequest& pending = pending_.at(group_action.request);
-  pending.may_have_run = group_action.may_have_run;
+  // An earlier attempt, by another group or host, may have run too.
+  pending.may_have_run = pending.may_have_run || group_action.may_have_run;
   const std::string reason = RefusalReasonName(group_action.reason);
   Refuse(group_action.request, RefusalStatus(reason), reason, now, actions);
 }
