Tests: refusals whose body is continued, and routes that become non-idempotent

Two ways by which a false refusal could reach a caller, listed as not tried: a copy of an earlier refusal that is cut off within its body and continued by the response that is due, where the stated length fits, and a route that becomes non-idempotent while its requests run. Nothing failed: the first ends as broken (502), the second keeps what the call knows of its attempts (502 or 504).

--- a/tests/gateway/forwarder_fixture.h
+++ b/tests/gateway/forwarder_fixture.h
@@ -32,6 +32,20 @@
                    {.ratio = 0.2, .window = std::chrono::seconds(10), .slack = 1000}}),
         server(io, forwarder, &memory),
         caller(io) {
+    Config initial = FirstConfig();
+    pool.SetServices(initial.services);
+    REQUIRE(config.Update(std::move(initial)));
+    AddServer("a", first.address());
+    AddServer("b", second.address());
+    forwarder.SetServer(&server);
+    forwarder.SetSlackShare(1);
+    port = FreePort();
+    REQUIRE(server.Open("127.0.0.1", port));
+    caller.Connect(port);
+  }
+
+  /// The configuration in force at the start: an idempotent and a non-idempotent route.
+  static Config FirstConfig() {
     Config initial;
     initial.version = ConfigVersion(1);
     for (const bool idempotent : {true, false}) {
@@ -47,15 +61,7 @@
       initial.routes.push_back(route);
     }
     initial.services[search_service] = {.name = search_service, .health_path = "/health"};
-    pool.SetServices(initial.services);
-    REQUIRE(config.Update(std::move(initial)));
-    AddServer("a", first.address());
-    AddServer("b", second.address());
-    forwarder.SetServer(&server);
-    forwarder.SetSlackShare(1);
-    port = FreePort();
-    REQUIRE(server.Open("127.0.0.1", port));
-    caller.Connect(port);
+    return initial;
   }
 
   void AddServer(const std::string& id, const std::string& address) {
--- a/tests/gateway/mixed_response_test.cc
+++ b/tests/gateway/mixed_response_test.cc
@@ -136,6 +136,28 @@
   }
 }
 
+TEST_CASE("a refusal whose body is continued by the response that is due refuses nothing") {
+  const FakeAdapter adapter;
+  Fixture fixture;
+  const std::string own =
+      Response("HTTP/1.1 200 OK", kRequestId, "Server: s\r\nSignature: 17.4\r\n", "whole");
+  for (const std::string_view status_line :
+       {"HTTP/1.1 503 Service Unavailable", "HTTP/1.1 421 Misdirected Request"}) {
+    for (const std::size_t kept : {0U, 1U, 9U}) {
+      // The stated length is that of the part and the response behind it, or a part of that.
+      for (const std::size_t hidden : {own.size(), own.size() - 1, own.size() / 2}) {
+        const std::string body(kept + hidden, 'r');
+        const std::string copy = Response(status_line, "request-1", "Not-Run: 1\r\n", body);
+        const std::string bytes = copy.substr(0, copy.size() - hidden) + own;
+        CAPTURE(bytes);
+        const ExchangeResult result = fixture.ExchangeOnUsedConnection(bytes);
+        CHECK(ClassifyResponse(result, std::string(kRequestId), adapter) ==
+              AttemptOutcome::kBroken);
+      }
+    }
+  }
+}
+
 TEST_CASE("a response that contradicts itself proves nothing") {
   const FakeAdapter adapter;
   const auto classify = [&](std::string_view status_line, std::string_view header_lines) {
--- a/tests/gateway/not_run_test.cc
+++ b/tests/gateway/not_run_test.cc
@@ -48,5 +48,31 @@
   CHECK(caller.received.starts_with("HTTP/1.1 200 "));
 }
 
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "a request of a route that becomes non-idempotent gets no promise once it ran") {
+  SendRequest("GET", "/read/1");
+  const auto at = NextServerConnection();
+  Config changed = FirstConfig();
+  changed.version = ConfigVersion(2);
+  for (Route& route : changed.routes) route.idempotent = false;
+  REQUIRE(config.Update(std::move(changed)));
+  SUBCASE("its server fails and the other one refuses") {
+    at->Reset();
+    NextServerConnection()->Write(
+        "HTTP/1.1 503 Busy\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  }
+  SUBCASE("its server fails and no other one is left") {
+    pool.Remove(ServerName("a"));
+    pool.Remove(ServerName("b"));
+    at->Reset();
+  }
+  SUBCASE("its server's own status is 503") { at->Write(Answer(503, "")); }
+  SUBCASE("the host stops") { forwarder.FailAll(MonotonicClock::now()); }
+  WaitForText("HTTP/1.1 ");
+  RunFor(io, milliseconds(20));
+  CHECK(caller.received.starts_with("HTTP/1.1 50"));
+  CHECK_FALSE(caller.received.starts_with("HTTP/1.1 503"));
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
