HTTP client: an answer with another request's id is not the answer that is due

Callers of the product's own interface were told not-run (429, 503) for an idempotent request that a server had run, or got the answer of another request.

Cause: idempotent requests share connections, and the servers' protocol had an id in requests only. A second copy of an earlier answer was taken for the next one.

With the id, a copy ends the exchange as broken and closes the connection, whole, alone, or cut off within its head (test of the client).

Servers should now repeat X-Request-Id in their answers; one that does not is used as before, without this protection. The stand-in repeats it.

--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -75,6 +75,8 @@
   void OnHeaderLine(std::string_view line);
   void OnStatusLine(std::string_view line);
   void OnHeaderField(std::string_view line);
+  /// Value of the header `id_header` of the request.
+  std::string_view RequestIdValue() const;
   HttpEnd ToHttpEnd(CURLcode code) const;
   bool IsBodyEndKnown() const;
 
@@ -95,6 +97,7 @@
   /// libcurl reports no error for a connection that closes within the head if no body is expected.
   bool head_complete_ = false;
   bool too_large_ = false;
+  bool for_other_request_ = false;
   std::array<char, CURL_ERROR_SIZE> error_{};
 };
 
@@ -188,6 +191,8 @@
   if (answer.end == HttpEnd::kAnswered) return answer;
   if (too_large_) {
     answer.error = "answer too large";
+  } else if (for_other_request_) {
+    answer.error = "answer to another request";
   } else if (code == CURLE_OK && !head_complete_) {
     answer.error = "answer cut off within its head";
   } else if (code == CURLE_OK) {
@@ -229,6 +234,7 @@
   has_body_framing_ = false;
   head_complete_ = false;
   too_large_ = false;
+  for_other_request_ = false;
   error_[0] = 0;
 }
 
@@ -263,9 +269,19 @@
     answer_.body.reserve(std::min(length, request_.max_answer_bytes));
   }
   if (name == "transfer-encoding") has_body_framing_ = true;
+  if (!request_.id_header.empty() && name == request_.id_header && value != RequestIdValue()) {
+    for_other_request_ = true;
+  }
   answer_.headers.emplace_back(std::move(name), std::move(value));
 }
 
+std::string_view Exchange::RequestIdValue() const {
+  for (const auto& [name, value] : request_.headers) {
+    if (LowerCase(name) == request_.id_header) return value;
+  }
+  return {};
+}
+
 std::size_t Exchange::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
   auto* exchange = static_cast<Exchange*>(self);
   const std::size_t bytes = size * count;
@@ -286,7 +302,8 @@
     return 0;
   }
   exchange->OnHeaderLine(std::string_view(data, bytes));
-  return bytes;
+  // Anything but `bytes` ends the transfer, and libcurl then closes the connection.
+  return exchange->for_other_request_ ? 0 : bytes;
 }
 
 /// Called by libcurl immediately before each send of the request. Aborts a resend of a
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -31,6 +31,10 @@
   Duration timeout = std::chrono::seconds(5);
   /// Timeout for establishing the connection, part of `timeout`; exceeding it gives kNotSent.
   Duration connect_timeout = std::chrono::milliseconds(500);
+  /// Name of a header of the request that its answer may repeat, in lower case; empty for none. An
+  /// answer in which it has another value belongs to another request: the exchange is kBroken, and
+  /// its connection is closed.
+  std::string id_header;
   /// Maximum size of an answer body, in bytes; a larger one gives kBroken.
   std::size_t max_answer_bytes = 4 * 1024 * 1024;
 };
--- a/src/mulberryd/server_protocol.cc
+++ b/src/mulberryd/server_protocol.cc
@@ -55,6 +55,7 @@
                      {"X-Deadline", std::to_string(send.deadline.time_since_epoch().count())},
                      {"X-Class", send.class_name.str()},
                      {"X-Depth", std::to_string(send.depth)}};
+  request.id_header = "x-request-id";
   if (!send.content_type.empty()) {
     request.headers.emplace_back("Content-Type", std::move(send.content_type));
   }
--- a/tests/mulberryd/entry_hosts.cc
+++ b/tests/mulberryd/entry_hosts.cc
@@ -74,6 +74,11 @@
     return respond(std::move(answer));
   }
   ++started_;
+  const std::string other_id = QueryOf(request, "other_id");
+  if (!other_id.empty()) {
+    answer.status = 503;
+    answer.headers.insert(answer.headers.end(), {{"X-Not-Run", "1"}, {"X-Request-Id", other_id}});
+  }
   answer.body = std::string(std::strtoul(QueryOf(request, "bytes").c_str(), nullptr, 10), 'x');
   const milliseconds work(std::strtoul(QueryOf(request, "work_ms").c_str(), nullptr, 10));
   auto timer = std::make_shared<asio::steady_timer>(io_, work);
--- a/tests/standins/server/backend_server.cc
+++ b/tests/standins/server/backend_server.cc
@@ -143,7 +143,7 @@
                                           {"path", request.path},
                                           {"body_hash", StableHash(request.body)},
                                           {"pad", std::string(std::min(pad, kMaxPadBytes), 'p')}});
-  answer.headers.emplace_back("X-Start-Id", std::to_string(start_id_));
+  AddIds(request, answer);
   return answer;
 }
 
@@ -151,10 +151,15 @@
   Record(event, request);
   ServerAnswer answer = JsonAnswer(status, {{"server", options_.name}, {"error", event}});
   answer.headers.emplace_back("X-Not-Run", "1");
-  answer.headers.emplace_back("X-Start-Id", std::to_string(start_id_));
+  AddIds(request, answer);
   return answer;
 }
 
+void BackendServer::AddIds(const ServerRequest& request, ServerAnswer& answer) const {
+  answer.headers.emplace_back("X-Start-Id", std::to_string(start_id_));
+  answer.headers.emplace_back("X-Request-Id", HeaderOf(request, "x-request-id"));
+}
+
 void BackendServer::Probe(const ServerRequest& request, const HttpServer::Respond& respond) {
   Record("probe", request);
   auto timer = std::make_shared<asio::steady_timer>(io_, options_.probe_time);
--- a/tests/standins/server/backend_server.h
+++ b/tests/standins/server/backend_server.h
@@ -77,6 +77,7 @@
   void Overload();
   ServerAnswer Result(const ServerRequest& request) const;
   ServerAnswer NotRun(const ServerRequest& request, int status, const char* event);
+  void AddIds(const ServerRequest& request, ServerAnswer& answer) const;
   void Probe(const ServerRequest& request, const HttpServer::Respond& respond);
   nlohmann::json Load(Clock::time_point now) const;
   ServerAnswer SetMode(const ServerRequest& request);
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -160,6 +160,33 @@
   CHECK(server.connections() == 1);
 }
 
+TEST_CASE("a second copy of an answer is not taken for the next one") {
+  asio::io_context io;
+  HttpClient client(io);
+  const std::string first = "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string own = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\nok";
+  std::string answer = first;
+  RawServer server(io, [&](int, const std::string&) { return answer; });
+  const auto exchange = [&](const std::string& id) {
+    HttpRequest request = Get(server.url());
+    request.headers = {{"X-Id", id}};
+    request.id_header = "x-id";
+    return Exchange(io, client, request);
+  };
+  REQUIRE(exchange("1").status == 503);
+  SUBCASE("whole") { answer = first + own; }
+  SUBCASE("cut off within its head") { answer = first.substr(0, 29) + own; }
+  SUBCASE("alone") { answer = first; }
+  const HttpAnswer second = exchange("2");
+  CHECK(second.end == HttpEnd::kBroken);
+  CHECK(second.error == "answer to another request");
+  answer = own;
+  CHECK(exchange("2").body == "ok");
+  CHECK(server.connections() == 2);
+  answer = kOk;
+  CHECK(exchange("3").end == HttpEnd::kAnswered);
+}
+
 TEST_CASE("callbacks may start and cancel exchanges; a destroyed client calls no callback") {
   asio::io_context io;
   auto client = std::make_unique<HttpClient>(io);
