Tests: each way by which 408, 421, 429 and 503 reach a caller

A partial request behind a running one, at the time limit and at the end of a stop: one refusal, behind the response that is due.

--- a/tests/gateway/caller_server_test.cc
+++ b/tests/gateway/caller_server_test.cc
@@ -172,6 +172,36 @@
   CHECK(recorder.requests.empty());
 }
 
+TEST_CASE_FIXTURE(Fixture, "a partial request is refused behind the response that is due, once") {
+  caller.Write("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\nPOST /2 HTTP/1.1\r\nHo");
+  WaitForRequests(1);
+  std::string refusal;
+  SUBCASE("at the time limit for a head") {
+    refusal = "HTTP/1.1 408 ";
+    for (int sweep = 0; sweep < 3; ++sweep) {
+      RunFor(io, milliseconds(70));
+      server.Sweep(MonotonicClock::now());
+    }
+  }
+  SUBCASE("at the end of a stop") {
+    refusal = "HTTP/1.1 503 ";
+    server.RefuseIncomplete();
+    server.RefuseIncomplete();
+  }
+  RunFor(io, milliseconds(20));
+  CHECK(caller.received.empty());
+  caller.Write("st: h\r\nContent-Length: 0\r\n\r\n");
+  RunFor(io, milliseconds(20));
+  server.Respond(recorder.exchanges[0], kOk, "first");
+  REQUIRE(RunUntil(io, [&] { return caller.ended; }));
+  CHECK(caller.received.starts_with("HTTP/1.1 200 "));
+  const std::size_t refused_at = caller.received.find(refusal);
+  CHECK(refused_at > caller.received.find("first"));
+  CHECK(refused_at < caller.received.size());
+  CHECK(caller.received.find(refusal, refused_at + 1) == std::string::npos);
+  CHECK(recorder.requests.size() == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a body without memory is refused at once, and memory is given back") {
   CallerLimits limits;
   limits.max_body_bytes = 1 << 20;
--- a/tests/gateway/not_run_test.cc
+++ b/tests/gateway/not_run_test.cc
@@ -48,6 +48,26 @@
   CHECK(caller.received.starts_with("HTTP/1.1 200 "));
 }
 
+TEST_CASE_FIXTURE(ForwarderFixture,
+                  "a status by which a server promises nothing reaches no caller as a promise") {
+  for (const char* path : {"/read/1", "/write/1"}) {
+    for (const int status : {408, 421, 429, 503}) {
+      CAPTURE(path);
+      CAPTURE(status);
+      caller.received.clear();
+      SendRequest("POST", path, "Content-Length: 0\r\n");
+      const auto at = NextServerConnection();
+      at->Write(Answer(status, "ran", "Connection: close\r\n"));
+      const bool counts_as_failure = status == 421 || status == 503;
+      if (counts_as_failure && std::string(path) == "/read/1") {
+        NextServerConnection()->Write(Answer(status, "ran", "Connection: close\r\n"));
+      }
+      WaitForText("HTTP/1.1 502 ");
+      CHECK(caller.received.find("ran") == std::string::npos);
+    }
+  }
+}
+
 TEST_CASE_FIXTURE(ForwarderFixture,
                   "a request of a route that becomes non-idempotent gets no promise once it ran") {
   SendRequest("GET", "/read/1");
--- a/tests/mulberryd/entry_hosts.cc
+++ b/tests/mulberryd/entry_hosts.cc
@@ -74,6 +74,9 @@
     return respond(std::move(answer));
   }
   ++started_;
+  if (const std::string status = QueryOf(request, "status"); !status.empty()) {
+    answer.status = std::stoi(status);
+  }
   const std::string other_id = QueryOf(request, "other_id");
   if (!other_id.empty()) {
     answer.status = 503;
--- a/tests/mulberryd/entry_hosts.h
+++ b/tests/mulberryd/entry_hosts.h
@@ -19,8 +19,8 @@
 namespace mulberry {
 
 /// Backend server in the test's process. It counts what it ran, and works on each request for the
-/// time that the query parameter `work_ms` says; `bytes` is the size of the answer's body. With
-/// `other_id`, the answer is the refusal of the request with that id.
+/// time that the query parameter `work_ms` says; `bytes` is the size of the answer's body, `status`
+/// its status. With `other_id`, the answer is the refusal of the request with that id.
 class CountingServer {
  public:
   CountingServer(asio::io_context& io, std::uint16_t port);
