Tests: half of a service asks for pauses again and again

What a load of 0.3, 0.45 and 0.8 gets when half of the servers refuse every request with Retry-After: as much in target as without these servers (within 0.05), early refusals, and one request a pause at each of them.

--- a/tests/gateway/overload_model.cc
+++ b/tests/gateway/overload_model.cc
@@ -1,6 +1,7 @@
 #include "overload_model.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace mulberry::gateway {
 namespace {
@@ -17,6 +18,8 @@
 constexpr Duration kStep = milliseconds(1);
 constexpr Duration kSlownessInterval = milliseconds(150);
 constexpr Duration kReportInterval = milliseconds(25);
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+constexpr std::size_t kMaxAttempts = 2;
 
 }  // namespace
 
@@ -30,7 +33,7 @@
     entry.data_centre = local_data_centre;
     entry.slots = options_.configured_slots;
     pool_.Put(entry, TimePoint());
-    servers_[entry.id] = {};
+    servers_[entry.id].pauses = i < options_.pausing_servers;
   }
   DrawSlowness();
 }
@@ -110,10 +113,20 @@
 }
 
 bool OverloadModel::TryDispatch(const Caller& caller, TimePoint now) {
-  const std::set<ServerName> none;
-  const auto choice = pool_.Select({search_service, none, true, false}, now);
-  const auto* chosen = std::get_if<Selection>(&choice);
-  if (chosen == nullptr) return false;
+  std::set<ServerName> tried;
+  std::optional<Selection> chosen;
+  while (!chosen) {
+    const auto choice = pool_.Select({search_service, tried, true, false}, now);
+    if (!std::holds_alternative<Selection>(choice)) return false;
+    chosen = std::get<Selection>(choice);
+    if (!servers_[chosen->id].pauses) break;
+    ++paused_requests_;
+    pool_.OnEnd(chosen->id, AttemptOutcome::kShed, pool_.OnSent(chosen->id, now), now);
+    pool_.OnPauseRequested(chosen->id, kRetryAfter, now);
+    tried.insert(chosen->id);
+    chosen.reset();
+    if (tried.size() == kMaxAttempts) return false;
+  }
   queue_.OnDispatch(now);
   callers_[caller.call.id.value()] = {caller.call, caller.arrived, false};
   std::uniform_real_distribution<double> spread(0.7, 1.3);
--- a/tests/gateway/overload_model.h
+++ b/tests/gateway/overload_model.h
@@ -35,6 +35,8 @@
   /// Slots per server that the pool is told.
   std::uint32_t configured_slots = 4;
   int servers = 6;
+  /// The first of them refuse every request with a Retry-After of one second.
+  int pausing_servers = 0;
   /// Requests per second of the urgent and of the usual priority.
   double urgent_rate = 50;
   double usual_rate = 160;
@@ -50,6 +52,8 @@
 
   /// Runs the simulation and returns the results by priority: 1 is urgent, 2 is usual.
   std::map<std::uint32_t, PriorityResult> Run(Duration length);
+  /// Requests that servers have refused with a Retry-After.
+  int paused_requests() const { return paused_requests_; }
 
  private:
   struct Caller {
@@ -65,6 +69,7 @@
   struct Server {
     std::vector<Running> running;
     double slowness = 1;
+    bool pauses = false;
   };
 
   void GenerateArrivals(TimePoint now);
@@ -85,6 +90,7 @@
   std::map<std::uint32_t, PriorityResult> results_;
   std::mt19937 random_;
   std::uint64_t next_id_ = 1;
+  int paused_requests_ = 0;
 };
 
 }  // namespace mulberry::gateway
--- a/tests/gateway/overload_test.cc
+++ b/tests/gateway/overload_test.cc
@@ -46,6 +46,27 @@
   }
 }
 
+TEST_CASE("servers that ask for pauses again and again do not overload the others") {
+  constexpr int kSeconds = 20;
+  for (const double load : {0.3, 0.45, 0.8}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      CAPTURE(load);
+      OverloadOptions half_pauses = Options(load, seed);
+      half_pauses.pausing_servers = half_pauses.servers / 2;
+      OverloadOptions half_is_gone = Options(load, seed);
+      half_is_gone.servers /= 2;
+      OverloadModel model(half_pauses);
+      auto results = model.Run(seconds(kSeconds));
+      const double without = InTarget(OverloadModel(half_is_gone).Run(seconds(kSeconds)));
+      CAPTURE(without);
+      CHECK(InTarget(results) > without - 0.05);
+      CHECK(results[2].slowest_refusal < milliseconds(400));
+      // One request of each pausing server shows that its pause is over.
+      CHECK(model.paused_requests() <= half_pauses.pausing_servers * (kSeconds + 1));
+    }
+  }
+}
+
 /// Fraction of requests in target over several seeds with the estimate in use, and with servers
 /// always or never filled.
 struct InTargetShares {
