Types, settings and formats for workspaces, versions and rollouts

The configuration of two new deployments names workspaces with keys and caps, and one deployment orders rollouts of a version; both were dropped when records were decoded. They are decoded now into types of two new libraries, and the settings of both exist where the platform's terms have them. Nothing uses them yet.

--- a/src/libbase/ids.h
+++ b/src/libbase/ids.h
@@ -54,6 +54,10 @@
 using ClassName = StrongString<struct ClassNameTag>;
 /// Name of a backend server, unique in the fleet.
 using ServerName = StrongString<struct ServerNameTag>;
+/// Name of a workspace, a customer whose callers share keys and a rate limit.
+using WorkspaceName = StrongString<struct WorkspaceNameTag>;
+/// Version of the software that a backend server runs.
+using ServerVersion = StrongString<struct ServerVersionTag>;
 /// Identifier of one configuration change, chosen by its author. Retries of the append reuse the
 /// identifier.
 using ChangeId = StrongString<struct ChangeIdTag>;
--- a/src/libgateway/gateway_settings.cc
+++ b/src/libgateway/gateway_settings.cc
@@ -9,6 +9,12 @@
 namespace mulberry::gateway {
 namespace {
 
+/// Turns rollouts on when a setting of them is present.
+rollout::Limits& RolloutLimits(GatewaySettings* s) {
+  if (!s->rollout) s->rollout.emplace();
+  return *s->rollout;
+}
+
 std::vector<IniKey> KeysOf(GatewaySettings* s) {
   constexpr bool kRequired = true;
   return {
@@ -45,6 +51,29 @@
       {"budget", "cold_overage", false,
        DecimalParser(1, 100, "multiple of the cold rate", &s->cold_overage)},
       {"budget", "cold_slack", false, CountParser(0, 1'000'000, "requests", &s->cold_slack)},
+      {"rollout", "canary_share", false,
+       [s](const std::string& text) {
+         return DecimalParser(0, 1, "fraction of the requests of a service",
+                              &RolloutLimits(s).canary_share)(text);
+       }},
+      {"rollout", "canary_slack", false,
+       [s](const std::string& text) {
+         return CountParser(0, 1'000'000, "requests", &RolloutLimits(s).canary_slack)(text);
+       }},
+      {"rollout", "rollback_ms", false,
+       [s](const std::string& text) {
+         return MillisecondsParser(100, 600'000, &RolloutLimits(s).rollback_bound)(text);
+       }},
+      {"workspaces", "strict_revocation", false, BooleanParser(&s->revocation.strict)},
+      {"workspaces", "revocation_bound_ms", false,
+       MillisecondsParser(500, 600'000, &s->revocation.bound)},
+      {"workspaces", "cap_window_s", false,
+       IntegerParser(1, 3600, "seconds",
+                     [s](std::uint64_t value) { s->caps.window = std::chrono::seconds(value); })},
+      {"workspaces", "cap_overage", false,
+       DecimalParser(0, 10, "fraction of a cap", &s->caps.overage)},
+      {"workspaces", "cap_slack", false, CountParser(0, 1'000'000, "requests", &s->caps.slack)},
+      {"placement", "spill", false, BooleanParser(&s->spill)},
       {"log", "level", false, LogLevelParser(&s->log_level)},
   };
 }
--- a/src/libgateway/gateway_settings.h
+++ b/src/libgateway/gateway_settings.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "libbase/base.h"
 #include "libgateway/retry_budget.h"
+#include "librollout/rollout.h"
+#include "libworkspace/workspace.h"
 
 namespace mulberry::gateway {
 
@@ -44,6 +47,14 @@
   /// requests.
   double cold_overage = 1.5;
   std::uint32_t cold_slack = 0;
+  // [rollout]
+  std::optional<rollout::Limits> rollout;  ///< Empty: versions of servers are ignored.
+  // [workspaces]
+  workspace::RevocationLimits revocation;
+  workspace::CapLimits caps;
+  // [placement]
+  /// Decide by load and cost how many requests go to other data centres.
+  bool spill = false;
   // [log]
   std::string log_level = "info";
 };
--- a/src/libgateway/platform_adapter.h
+++ b/src/libgateway/platform_adapter.h
@@ -21,6 +21,7 @@
   std::string server_signature;  ///< Present in responses that the server itself produced.
   std::string load;              ///< A server's load report.
   std::string leaving;           ///< "1" in all responses of a server that is leaving.
+  std::string workspace;         ///< Name of the caller's workspace, for the server.
 };
 
 /// Topics of the store that a gateway follows.
@@ -28,6 +29,7 @@
   kOperator,  ///< Configurations and data centre states from operators.
   kServers,   ///< Entries of the backend servers.
   kHosts,     ///< Entry hosts; each gateway writes its own record.
+  kStatus,    ///< States of rollouts, for operators.
 };
 
 /// An HTTP request to the store.
@@ -80,6 +82,8 @@
   virtual StoreCall ReadNewest(Topic topic, const std::string& after) const = 0;
   virtual StoreCall ReadRecords(Topic topic, Offset from, Duration wait) const = 0;
   virtual StoreCall PutHost(const HostRecord& record) const = 0;
+  /// Takes effect only if the topic ends at `end`; see IsConflict.
+  virtual StoreCall PutRolloutStatus(const rollout::Status& status, Offset end) const = 0;
 
   /// Decode the bodies of responses with status 200. Errors: kCorrupt with the reason.
   virtual Result<NewestPage> ParseNewest(std::string_view body) const = 0;
@@ -88,11 +92,15 @@
   virtual std::optional<StoreEra> ParseStoreEra(const HeaderList& headers) const = 0;
   /// True when the status says that the requested records have been deleted by retention.
   virtual bool IsExpired(int status) const = 0;
+  /// True when the status says that the condition of a write did not hold, so nothing was written.
+  virtual bool IsConflict(int status) const = 0;
 
   /// Decode records. Errors: kCorrupt with the reason.
   virtual Result<OperatorUpdate> ParseOperatorRecord(const TopicRecord& record) const = 0;
   virtual Result<ServerEntry> ParseServer(const TopicRecord& record) const = 0;
   virtual Result<HostRecord> ParseHost(const TopicRecord& record) const = 0;
+  /// Errors: kCorrupt; kNotFound for a record of another kind.
+  virtual Result<rollout::Status> ParseRolloutStatus(const TopicRecord& record) const = 0;
 
   /// Decode parts of servers' responses; empty where absent or malformed.
   virtual std::optional<LoadReport> ParseLoad(std::string_view value) const = 0;
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -20,6 +20,8 @@
       return "operator";
     case Topic::kServers:
       return "servers";
+    case Topic::kStatus:
+      return "status";
     case Topic::kHosts:
       return "hosts";
   }
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "libbase/base.h"
+#include "librollout/rollout.h"
+#include "libworkspace/workspace.h"
 
 namespace mulberry::gateway {
 
@@ -38,6 +40,8 @@
   std::string host;
   std::string path_prefix;
   bool idempotent = false;
+  /// Requests need no key even if the configuration has workspaces.
+  bool open = false;
   /// Maximum time until the caller gets an answer.
   Duration timeout{};
   /// Target for the time until the answer.
@@ -75,6 +79,8 @@
   ConfigVersion version;
   std::vector<Route> routes;
   std::map<ServiceName, Service> services;
+  /// Empty: callers need no keys.
+  std::vector<workspace::Workspace> workspaces;
   CallerLimits limits;
 };
 
@@ -84,6 +90,7 @@
   ServiceName service;
   std::string address;  ///< "ip:port".
   DataCentreName data_centre;
+  ServerVersion version;
   std::uint32_t slots = 1;
   bool leaving = false;
   /// Remaining time until the server is warm, as of when the entry was written.
@@ -113,8 +120,8 @@
   bool leaving = false;
 };
 
-/// A change that operators publish in the store: a configuration, or taking a data centre out of
-/// service or back.
+/// A change that operators publish in the store: a configuration, taking a data centre out of
+/// service or back, or a rollout of a version.
 struct ConfigUpdate {
   Config config;
 };
@@ -122,9 +129,24 @@
   DataCentreName data_centre;
   bool out = false;
 };
+/// A rollout of a service is ordered.
+struct RolloutUpdate {
+  rollout::Order order;
+};
+/// The order of a rollout of the service is withdrawn.
+struct RolloutWithdrawnUpdate {
+  ServiceName service;
+};
+/// A rollout record that cannot be carried out. It changes nothing; the status tells why.
+struct InvalidRolloutUpdate {
+  ServiceName service;
+  ServerVersion target;  ///< Empty if the record does not name one.
+  std::string problem;
+};
 /// A record that the gateway ignores.
 struct UnknownUpdate {};
-using OperatorUpdate = std::variant<UnknownUpdate, ConfigUpdate, DataCentreOutUpdate>;
+using OperatorUpdate = std::variant<UnknownUpdate, ConfigUpdate, DataCentreOutUpdate, RolloutUpdate,
+                                    RolloutWithdrawnUpdate, InvalidRolloutUpdate>;
 
 /// An entry host as listed in the store.
 struct HostRecord {
--- /dev/null
+++ b/src/libworkspace/workspace.h
@@ -0,0 +1,4 @@
+#pragma once
+
+/// Public header of libworkspace: workspaces, their keys and their rate limits.
+#include "libworkspace/types.h"  // IWYU pragma: export
--- a/tests/gateway/fake_adapter.h
+++ b/tests/gateway/fake_adapter.h
@@ -16,17 +16,22 @@
   StoreCall ReadNewest(Topic, const std::string&) const override { return {}; }
   StoreCall ReadRecords(Topic, Offset, Duration) const override { return {}; }
   StoreCall PutHost(const HostRecord&) const override { return {}; }
+  StoreCall PutRolloutStatus(const rollout::Status&, Offset) const override { return {}; }
   Result<NewestPage> ParseNewest(std::string_view) const override { return NewestPage(); }
   Result<RecordPage> ParseRecords(std::string_view, Offset from) const override {
     return RecordPage{{}, from};
   }
   std::optional<StoreEra> ParseStoreEra(const HeaderList&) const override { return std::nullopt; }
   bool IsExpired(int) const override { return false; }
+  bool IsConflict(int) const override { return false; }
   Result<OperatorUpdate> ParseOperatorRecord(const TopicRecord&) const override {
     return OperatorUpdate(UnknownUpdate());
   }
   Result<ServerEntry> ParseServer(const TopicRecord&) const override { return ServerEntry(); }
   Result<HostRecord> ParseHost(const TopicRecord&) const override { return HostRecord(); }
+  Result<rollout::Status> ParseRolloutStatus(const TopicRecord&) const override {
+    return rollout::Status();
+  }
   std::optional<LoadReport> ParseLoad(std::string_view) const override { return std::nullopt; }
   HealthReport ParseHealth(int, const HeaderList&) const override { return {}; }
   bool IsRefusal(int status) const override {
@@ -48,7 +53,8 @@
                      .not_run = "Not-Run",
                      .server_signature = "Signature",
                      .load = "Load",
-                     .leaving = "Leaving"};
+                     .leaving = "Leaving",
+                     .workspace = "Workspace"};
 };
 
 }  // namespace mulberry::gateway
