--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -214,6 +214,7 @@
     LogEvent(LogLevel::kInfo, "server_entry",
              {{"server", entry.id.str()},
               {"service", entry.service.str()},
+              {"version", entry.version.str()},
               {"state", after},
               {"before", before}});
   }
