Admission: the call queue and its wait rules become libadmission

The decisions under load were files of the gateway's library, so that code for workspaces could only be added and tested together with connections and timers. They move unchanged to a pure library with one public header: call_queue, wait_policy (formerly admission) and dispatch_rate. CallId moves to libbase since the queue needs it. No change of behaviour.

--- a/src/libgateway/call_queue.h
+++ b/src/libadmission/call_queue.h
@@ -4,10 +4,11 @@
 #include <set>
 #include <tuple>
 
-#include "libgateway/admission.h"
-#include "libgateway/types.h"
+#include "libadmission/dispatch_rate.h"
+#include "libadmission/wait_policy.h"
+#include "libbase/base.h"
 
-namespace mulberry::gateway {
+namespace mulberry::admission {
 
 /// The data of a call that a queue needs.
 struct QueuedCall {
@@ -48,4 +49,4 @@
   DispatchRate rate_;
 };
 
-}  // namespace mulberry::gateway
+}  // namespace mulberry::admission
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -218,7 +218,8 @@
   for (auto& [service, queue] : queues_) {
     while (!queue.empty()) {
       const std::size_t before = queue.size();
-      const QueuedCall next = queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now);
+      const admission::QueuedCall next =
+          queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now);
       Call* call = Find(next.id);
       if (call == nullptr) {
         queue.Remove(next);
@@ -497,11 +498,11 @@
   calls_.erase(found);
 }
 
-QueuedCall Forwarder::ToQueuedCall(const Call& call) {
+admission::QueuedCall Forwarder::ToQueuedCall(const Call& call) {
   return {call.id, call.route->priority, call.arrived + call.route->latency_target, call.deadline};
 }
 
-QueuePosition Forwarder::PositionOf(const Call& call, TimePoint now) {
+admission::QueuePosition Forwarder::PositionOf(const Call& call, TimePoint now) {
   return queues_[call.service].PositionOf(
       ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
 }
--- a/tests/gateway/overload_model.cc
+++ b/tests/gateway/overload_model.cc
@@ -81,7 +81,7 @@
       }
       continue;
     }
-    QueuedCall call = caller.call;
+    admission::QueuedCall call = caller.call;
     call.target_time = now + std::chrono::hours(1);
     call.deadline = call.target_time;
     if (queue_.TryEnqueue(call, usual, now)) callers_[caller.call.id.value()] = {call, now, true};
@@ -105,7 +105,8 @@
 
 void OverloadModel::DispatchQueued(TimePoint now) {
   while (!queue_.empty()) {
-    const QueuedCall next = queue_.Next(pool_.ServiceTime(search_service, milliseconds(60)), now);
+    const admission::QueuedCall next =
+        queue_.Next(pool_.ServiceTime(search_service, milliseconds(60)), now);
     const Caller caller = callers_.at(next.id.value());
     if (!TryDispatch(caller, now)) return;
     queue_.Remove(next);
