Keys of workspaces, their parsing, and the proof of freshness

A host must tell which workspace a key belongs to, and how recently its configuration was known to be the newest, without sockets or clocks.

--- a/src/libworkspace/workspace.h
+++ b/src/libworkspace/workspace.h
@@ -1,4 +1,7 @@
 #pragma once
 
 /// Public header of libworkspace: workspaces, their keys and their rate limits.
-#include "libworkspace/types.h"  // IWYU pragma: export
+#include "libworkspace/credentials.h"      // IWYU pragma: export
+#include "libworkspace/freshness_proof.h"  // IWYU pragma: export
+#include "libworkspace/key_directory.h"    // IWYU pragma: export
+#include "libworkspace/types.h"            // IWYU pragma: export
