Requests with keys are checked, and hosts prove that their configuration is the newest

A route that is not open needs a workspace's key, and a key that was taken away must not run anything 5 s later at any host, also at one that cannot read the store. Forwarder checks each request at its arrival and before each send; ProofExchange asks the first host in rank that reaches the store, which reads the operators' topic beside its long poll when asked.

--- a/src/libgateway/active_config.cc
+++ b/src/libgateway/active_config.cc
@@ -34,7 +34,10 @@
       return Fail(ErrorCode::kInvalidArgument, "route " + route.name + ": " + error);
     }
   }
+  auto keys = workspace::KeyDirectory::Build(config.workspaces);
+  if (!keys) return keys.error();
   config_ = std::move(config);
+  keys_ = std::move(keys.value());
   routes_ = std::make_unique<RouteTable>(config_.routes);
   return true;
 }
--- a/src/libgateway/active_config.h
+++ b/src/libgateway/active_config.h
@@ -4,6 +4,7 @@
 
 #include "libgateway/route_table.h"
 #include "libgateway/types.h"
+#include "libworkspace/workspace.h"
 
 namespace mulberry::gateway {
 
@@ -21,10 +22,12 @@
   const Config& config() const { return config_; }
   /// Precondition: ready().
   const RouteTable& routes() const { return *routes_; }
+  const workspace::KeyDirectory& keys() const { return keys_; }
 
  private:
   Config config_;
   std::unique_ptr<RouteTable> routes_;
+  workspace::KeyDirectory keys_;
 };
 
 }  // namespace mulberry::gateway
--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -168,6 +168,18 @@
                       [](const HostState& candidate) { return candidate.store_reachable; });
 }
 
+ProofSources FleetView::FindProofSources(TimePoint now) const {
+  std::vector<HostState> hosts = AliveHosts(now);
+  std::stable_partition(hosts.begin(), hosts.end(),
+                        [](const HostState& candidate) { return candidate.store_reachable; });
+  ProofSources sources;
+  sources.self_is_first = !hosts.empty() && hosts.front().is_self && hosts.front().store_reachable;
+  for (HostState& candidate : hosts) {
+    if (!candidate.is_self) sources.peers.push_back(std::move(candidate.peer_address));
+  }
+  return sources;
+}
+
 std::set<HostName> FleetView::AdvertisedAndSpareHosts(const DataCentreName& data_centre,
                                                       TimePoint now) const {
   const std::size_t count = AdvertisedHosts(data_centre, now).size() + kSpareHosts;
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -35,6 +35,15 @@
   std::uint32_t count = 0;  ///< Zero when the host is not advertised.
 };
 
+/// Hosts to ask for a proof that the configuration is the newest.
+struct ProofSources {
+  /// Of all alive hosts that can reach the store, this one ranks first: the others ask it.
+  bool self_is_first = false;
+  /// Peer addresses of the other alive hosts: those that can reach the store, then the rest, each
+  /// by rank.
+  std::vector<std::string> peers;
+};
+
 struct FleetOptions {
   HostRecord self;
   std::string self_caller_address;
@@ -98,6 +107,7 @@
   bool IsStoreReader(TimePoint now) const;
   /// True when no host of this host's reader group can reach the store.
   bool IsStoreUnreachable(TimePoint now) const;
+  ProofSources FindProofSources(TimePoint now) const;
   /// Addresses of the hosts of this host's reader group, for which it may have to read.
   std::vector<std::string> StoreUpdateTargets() const;
   /// True when this host would be advertised even if every registered host were alive.
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "libgateway/http_writer.h"
 #include "libgateway/response_classifier.h"
 
 namespace mulberry::gateway {
@@ -40,6 +39,7 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
+constexpr int kStatusUnauthorized = 401;
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -84,6 +84,11 @@
   calls_by_exchange_[exchange] = call->id;
   calls_.emplace(call->id, std::move(call));
   const CallId id = admitted.id;
+  if (admitted.proof_wait_until) {
+    waiting_for_proof_.insert(id);
+    SetTimer(admitted);
+    return;
+  }
   TryDispatch(admitted, false, arrived);
   EraseIfDone(id);
 }
@@ -107,6 +112,8 @@
     Refuse(call.exchange, kStatusNotFound, "no_route", call.request_id, kRefusalRetryAfter);
     return false;
   }
+  call.priority = call.route->priority;
+  if (!AdmitKey(call)) return false;
   call.service = traffic_splitter_.Next(*call.route);
   Duration limit = call.route->timeout;
   if (const std::string* left =
@@ -130,6 +137,89 @@
   return true;
 }
 
+/// Checks the call's key. Returns true when the call is admitted or waits for a proof.
+bool Forwarder::AdmitKey(Call& call) {
+  const TimePoint now = MonotonicClock::now();
+  const KeyDecision decision =
+      key_gate_.Check(call.request.headers, *call.route, call.arrived, true, now);
+  AdoptWorkspace(call, decision);
+  if (decision.verdict == KeyVerdict::kAdmitted) return true;
+  if (decision.verdict == KeyVerdict::kWait) {
+    call.proof_wait_until = now + ProofWait(*call.route);
+    return true;
+  }
+  RefuseKey(call, decision, now);
+  return false;
+}
+
+void Forwarder::AdoptWorkspace(Call& call, const KeyDecision& decision) {
+  call.workspace.in_use = call.workspace.in_use || key_gate_.active();
+  if (decision.workspace == nullptr) return;
+  call.workspace.name = decision.workspace->name;
+  // A queue finds a call by its priority.
+  if (!call.queued) call.priority = decision.workspace->priority.value_or(call.route->priority);
+}
+
+void Forwarder::OnKeysChanged(TimePoint now) {
+  const std::set<CallId> waiting = waiting_for_proof_;
+  for (const CallId id : waiting) DecideWaiting(id, true, now);
+}
+
+void Forwarder::DecideWaiting(CallId id, bool may_wait, TimePoint now) {
+  Call* call = Find(id);
+  if (call == nullptr || call->answered) {
+    waiting_for_proof_.erase(id);
+    return;
+  }
+  const KeyDecision decision =
+      key_gate_.Check(call->request.headers, *call->route, call->arrived, may_wait, now);
+  if (decision.verdict == KeyVerdict::kWait) return;
+  waiting_for_proof_.erase(id);
+  call->proof_wait_until.reset();
+  if (decision.verdict == KeyVerdict::kAdmitted) {
+    AdoptWorkspace(*call, decision);
+    TryDispatch(*call, false, now);
+  } else {
+    call->answered = true;
+    calls_by_exchange_.erase(call->exchange);
+    RefuseKey(*call, decision, now);
+  }
+  EraseIfDone(id);
+}
+
+void Forwarder::RefuseKey(const Call& call, const KeyDecision& decision, TimePoint now) {
+  const int status =
+      decision.verdict == KeyVerdict::kUnauthorized ? kStatusUnauthorized : kStatusUnavailable;
+  const auto as_of = key_gate_.proof().as_of();
+  LogEvent(LogLevel::kInfo, "key_refused",
+           {{"request", call.request_id},
+            {"route", call.route->name},
+            {"reason", decision.reason},
+            {"key_digest", decision.key_digest},
+            {"version", deps_.config.version().value()},
+            {"proof_age_ms", as_of ? ToMilliseconds(now - *as_of) : -1},
+            {"held_ms", ToMilliseconds(now - call.arrived)}});
+  Refuse(call.exchange, status, decision.reason, call.request_id, decision.retry_after);
+}
+
+/// Checks the call's key again before it is sent. Returns false when it must not be sent; fails the
+/// call then, unless an attempt is running.
+bool Forwarder::IsKeyStillValid(Call& call, bool hedge, TimePoint now) {
+  if (!key_gate_.active()) return true;
+  const KeyDecision decision =
+      key_gate_.Recheck(call.request.headers, *call.route, MonotonicClock::now());
+  AdoptWorkspace(call, decision);
+  if (decision.verdict == KeyVerdict::kAdmitted) return true;
+  if (hedge) return false;
+  LogEvent(LogLevel::kInfo, "key_lapsed",
+           {{"request", call.request_id},
+            {"reason", decision.reason},
+            {"key_digest", decision.key_digest},
+            {"workspace", call.workspace.name.str()}});
+  FailCall(call, FailureCause::kOther, decision.reason, decision.retry_after, now);
+  return false;
+}
+
 void Forwarder::OnMemoryFull(ExchangeId exchange, const HttpMessage& head) {
   const std::string* id = FindHeader(head.headers, deps_.adapter.headers().request_id);
   Refuse(exchange, kStatusUnavailable, "memory_full", id == nullptr ? "" : *id, kRefusalRetryAfter);
@@ -163,6 +253,7 @@
 }
 
 void Forwarder::TryDispatch(Call& call, bool hedge, TimePoint now) {
+  if (!IsKeyStillValid(call, hedge, now)) return;
   if (IsTooLate(call, now)) {
     if (!hedge) {
       FailCall(call, FailureCause::kTimeout, "too_late", RetryAfterFor(call, now), now);
@@ -259,7 +350,7 @@
   queues_[call.service].OnDispatch(now);
   ExchangeRequest request;
   request.head = WriteServerRequestHead(call.request, call.body->size(), deps_.adapter.headers(),
-                                        choice.id, call.deadline - now);
+                                        choice.id, call.deadline - now, call.workspace);
   if (!call.body->empty()) request.body = call.body;
   request.is_head = call.request.method == "HEAD";
   request.id_header = deps_.adapter.headers().request_id;
@@ -498,7 +589,7 @@
 }
 
 QueuedCall Forwarder::ToQueuedCall(const Call& call) {
-  return {call.id, call.route->priority, call.arrived + call.route->latency_target, call.deadline};
+  return {call.id, call.priority, call.arrived + call.route->latency_target, call.deadline};
 }
 
 QueuePosition Forwarder::PositionOf(const Call& call, TimePoint now) {
@@ -523,6 +614,7 @@
     due = std::min(due, QueueDeadline(PositionOf(call, MonotonicClock::now())));
   }
   due = std::min(due, call.hedge_at);
+  if (call.proof_wait_until) due = std::min(due, *call.proof_wait_until);
   timers_.Set(call.id, due);
 }
 
@@ -535,6 +627,10 @@
     EraseIfDone(id);
     return;
   }
+  if (call.proof_wait_until) {
+    DecideWaiting(id, false, now);
+    return;
+  }
   if (call.hedge_at <= now) {
     call.hedge_at = TimePoint::max();
     SetTimer(call);
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -18,6 +18,8 @@
 #include "libgateway/caller_server.h"
 #include "libgateway/connection_pool.h"
 #include "libgateway/gateway_metrics.h"
+#include "libgateway/http_writer.h"
+#include "libgateway/key_gate.h"
 #include "libgateway/platform_adapter.h"
 #include "libgateway/retry_budget.h"
 #include "libgateway/retry_policy.h"
@@ -57,6 +59,11 @@
   void OnDisconnected(ExchangeId exchange) override;
   void OnMemoryFull(ExchangeId exchange, const HttpMessage& head) override;
 
+  KeyGate& key_gate() { return key_gate_; }
+  /// Decides again about the calls that wait for a proof of freshness, after the proof or the
+  /// configuration has changed.
+  void OnKeysChanged(TimePoint now);
+
   /// Dispatches queued calls again after capacity may have become available.
   void DispatchQueued();
   void Sweep(TimePoint now);
@@ -88,6 +95,10 @@
     ServiceName service;
     TimePoint arrived;
     TimePoint deadline;
+    std::uint32_t priority = 0;  ///< The workspace's if it has one, else the route's.
+    WorkspaceHeaders workspace;
+    /// The call waits until then for a proof that the configuration is the newest.
+    std::optional<TimePoint> proof_wait_until;
     CallState state;
     std::set<ServerName> tried;
     std::set<std::string> tried_addresses;
@@ -100,6 +111,11 @@
   enum class FailureCause { kTimeout, kOther };
   Call* Find(CallId id);
   bool Admit(Call& call);
+  bool AdmitKey(Call& call);
+  void AdoptWorkspace(Call& call, const KeyDecision& decision);
+  void DecideWaiting(CallId id, bool may_wait, TimePoint now);
+  void RefuseKey(const Call& call, const KeyDecision& decision, TimePoint now);
+  bool IsKeyStillValid(Call& call, bool hedge, TimePoint now);
   bool IsTooLate(const Call& call, TimePoint now) const;
   void TryDispatch(Call& call, bool hedge, TimePoint now);
   void Enqueue(Call& call, NoServerReason reason, TimePoint now);
@@ -133,6 +149,9 @@
   void OnCallTimer(CallId id, TimePoint now);
 
   Dependencies deps_;
+  KeyGate key_gate_{deps_.config};
+  /// Calls with Call::proof_wait_until.
+  std::set<CallId> waiting_for_proof_;
   CallerServer* server_ = nullptr;
   ConnectionPool links_;
   TrafficSplitter traffic_splitter_{std::random_device{}()};
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -118,6 +118,10 @@
           [this](StoreEra era) { OnStoreEra(era); }),
       peer_channel_(io, [this](const PeerMessage& message) { OnPeerMessage(message); }),
       forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries}),
+      proof_exchange_({forwarder_.key_gate(), fleet_, store_view_, peer_channel_,
+                       [this] { return OwnHeartbeat(); },
+                       [this] { forwarder_.OnKeysChanged(MonotonicClock::now()); },
+                       [this](const HostHeartbeat& host) { SendOperatorRecords(host); }}),
       health_checker_(io, adapter, pool_, metrics_),
       load_report_sync_({io, pool_, fleet_, forwarder_, health_checker_, peer_channel_,
                          [this] { return OwnHeartbeat(); }}),
@@ -134,6 +138,7 @@
       heartbeat_timer_(io),
       exit_timer_(io) {
   forwarder_.SetServer(&caller_server_);
+  forwarder_.key_gate().SetLimits(settings.revocation);
 }
 
 GatewayNode::~GatewayNode() = default;
@@ -193,6 +198,8 @@
            {{"version", offered.value()}, {"routes", config_.config().routes.size()}});
   pool_.SetServices(config_.config().services);
   caller_server_.SetLimits(config_.config().limits);
+  forwarder_.key_gate().proof().OnVersion(workspace::DirectoryVersion(offered.value()));
+  forwarder_.OnKeysChanged(now);
   UpdateFleetState(now);
   forwarder_.DispatchQueued();
 }
@@ -223,6 +230,7 @@
 void GatewayNode::OnServerRemoved(const ServerName& id) { pool_.Remove(id); }
 
 void GatewayNode::OnStoreEra(StoreEra era) {
+  forwarder_.key_gate().proof().OnEra(era, MonotonicClock::now());
   store_view_.OnEra(era, MonotonicClock::now());
   host_list_.OnEra(era);
 }
@@ -250,6 +258,10 @@
   SendHeartbeatNow();
 }
 
+void GatewayNode::OnOperatorTopicEnd(TimePoint sent) {
+  proof_exchange_.OnOwnRead(sent, MonotonicClock::now());
+}
+
 void GatewayNode::OnUpdateForPeers(PeerMessage message) {
   message.heartbeat = OwnHeartbeat();
   peer_channel_.Send(message, fleet_.StoreUpdateTargets());
@@ -271,6 +283,7 @@
     peer_channel_.Send(question, {sender.record.peer_address});
   }
   if (message.wants_operator_records) SendOperatorRecords(sender);
+  proof_exchange_.OnPeerMessage(message, now);
 }
 
 /// Sends the operators' records that another host lacks, as far as they are kept here.
@@ -380,6 +393,7 @@
   MeasureRequestRate(now);
   UpdateFleetState(now);
   store_view_.Tick(fleet_.IsStoreReader(now), fleet_.IsStoreUnreachable(now), now);
+  proof_exchange_.Tick(now);
   CheckReady();
   caller_server_.Sweep(now);
   readiness_server_.Sweep(now);
@@ -399,6 +413,12 @@
 }
 
 void GatewayNode::UpdateGauges() {
+  const auto proven_as_of = forwarder_.key_gate().proof().as_of();
+  if (forwarder_.key_gate().active() && proven_as_of) {
+    metrics_.SetGauge("mulberry_proof_age_seconds",
+                      "Age of the proof that the configuration is the newest",
+                      std::chrono::duration<double>(MonotonicClock::now() - *proven_as_of).count());
+  }
   metrics_.SetGauge("mulberry_connections", "Open connections of callers",
                     static_cast<double>(caller_server_.connections()));
   metrics_.SetGauge("mulberry_calls", "Requests in work", static_cast<double>(forwarder_.calls()));
@@ -429,6 +449,8 @@
   settings_.cold_slack = settings.cold_slack;
   pool_.SetColdLimit(settings.cold_overage, settings.cold_slack);
   forwarder_.SetRetryLimits(settings.retries);
+  settings_.revocation = settings.revocation;
+  forwarder_.key_gate().SetLimits(settings.revocation);
   if (settings.store_address != settings_.store_address) {
     settings_.store_address = settings.store_address;
     store_.SetAddress(settings.store_address);
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -18,6 +18,7 @@
 #include "libgateway/load_report_sync.h"
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
+#include "libgateway/proof_exchange.h"
 #include "libgateway/server_pool.h"
 #include "libgateway/shutdown_policy.h"
 #include "libgateway/store_client.h"
@@ -56,6 +57,7 @@
   void OnStoreEra(StoreEra era) override;
   void OnStoreUpdated() override;
   void OnStoreReachable(bool reachable) override;
+  void OnOperatorTopicEnd(TimePoint sent) override;
   void OnUpdateForPeers(PeerMessage message) override;
 
   void ApplyConfig(Config config, TimePoint now);
@@ -93,6 +95,7 @@
   HostList host_list_;
   PeerChannel peer_channel_;
   Forwarder forwarder_;
+  ProofExchange proof_exchange_;
   HealthChecker health_checker_;
   LoadReportSync load_report_sync_;
   SyncHttpServer readiness_server_;
--- a/src/libgateway/http_writer.cc
+++ b/src/libgateway/http_writer.cc
@@ -10,13 +10,18 @@
 
 /// Space for the usual headers, so that building a message does not reallocate.
 constexpr std::size_t kTypicalHeadBytes = 512;
+constexpr int kStatusUnauthorized = 401;
 
 const char* ReasonPhrase(int status) {
   switch (status) {
     case 400:
       return "Bad Request";
+    case kStatusUnauthorized:
+      return "Unauthorized";
     case 404:
       return "Not Found";
+    case 429:
+      return "Too Many Requests";
     case 503:
       return "Service Unavailable";
     case 504:
@@ -36,7 +41,7 @@
 
 std::string WriteServerRequestHead(const HttpMessage& request, std::size_t body_bytes,
                                    const HeaderNames& names, const ServerName& target,
-                                   Duration time_left) {
+                                   Duration time_left, const WorkspaceHeaders& workspace) {
   const std::string_view connection_headers = ConnectionHeaderNames(request);
   std::string bytes;
   bytes.reserve(kTypicalHeadBytes);
@@ -47,8 +52,13 @@
         EqualsIgnoreCase(name, names.target_server)) {
       continue;
     }
+    if (workspace.in_use &&
+        (EqualsIgnoreCase(name, "authorization") || EqualsIgnoreCase(name, names.workspace))) {
+      continue;
+    }
     AppendHeader(bytes, name, value);
   }
+  if (!workspace.name.empty()) AppendHeader(bytes, names.workspace, workspace.name.str());
   AppendHeader(bytes, names.time_left,
                std::to_string(std::max<std::int64_t>(1, ToMilliseconds(time_left))));
   AppendHeader(bytes, names.target_server, target.str());
@@ -83,6 +93,7 @@
     AppendHeader(head, "Retry-After",
                  fmt::format("{:.3f}", std::chrono::duration<double>(*retry_after).count()));
   }
+  if (status == kStatusUnauthorized) AppendHeader(head, "WWW-Authenticate", "Bearer");
   if (!request_id.empty()) AppendHeader(head, names.request_id, request_id);
   return head;
 }
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -72,6 +72,13 @@
   if (message.server_update) EncodeUpdate(*message.server_update, out.mutable_server_news());
   if (message.operator_update) EncodeUpdate(*message.operator_update, out.mutable_operator_news());
   if (message.config_record) EncodeRecord(*message.config_record, out.mutable_config_record());
+  if (message.proof_query) out.set_proof_query(*message.proof_query);
+  if (message.proof_answer) {
+    wire::ProofAnswer* answer = out.mutable_proof_answer();
+    answer->set_stamp(message.proof_answer->stamp);
+    answer->set_start(message.proof_answer->start.value());
+    answer->set_age_us(static_cast<std::uint64_t>(message.proof_answer->age.count()));
+  }
   for (const auto& [server, count] : message.in_flight) {
     wire::InFlight* added = out.add_in_flight();
     added->set_id(server.str());
@@ -112,6 +119,12 @@
   if (in.has_server_news()) message.server_update = DecodeUpdate(in.server_news());
   if (in.has_operator_news()) message.operator_update = DecodeUpdate(in.operator_news());
   if (in.has_config_record()) message.config_record = DecodeRecord(in.config_record());
+  if (in.has_proof_query()) message.proof_query = in.proof_query();
+  if (in.has_proof_answer()) {
+    const wire::ProofAnswer& answer = in.proof_answer();
+    message.proof_answer = {answer.stamp(), StartId(answer.start()),
+                            Duration(static_cast<std::int64_t>(answer.age_us()))};
+  }
   if (heartbeat.record.host.empty() || !ParseEndpoint(heartbeat.record.peer_address) ||
       !ParseEndpoint(heartbeat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "datagram without a host name or a valid address");
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -25,6 +25,15 @@
   Duration age{};
 };
 
+/// Answer to a question for a proof of freshness, see workspace::ProofAnswer; the version is that
+/// of the heartbeat.
+struct ProofAnswerMessage {
+  std::uint64_t stamp = 0;
+  /// Start of the host that asked.
+  StartId start;
+  Duration age{};
+};
+
 /// The content of one datagram.
 struct PeerMessage {
   HostHeartbeat heartbeat;
@@ -38,6 +47,9 @@
   bool wants_operator_records = false;
   /// The record of the sender's configuration.
   std::optional<TopicRecord> config_record;
+  /// Asks for a ProofAnswerMessage with this stamp.
+  std::optional<std::uint64_t> proof_query;
+  std::optional<ProofAnswerMessage> proof_answer;
 };
 
 /// Sends and receives UDP datagrams between entry hosts. Each carries the whole current state, so a
--- a/src/libgateway/platform_adapter.h
+++ b/src/libgateway/platform_adapter.h
@@ -61,6 +61,8 @@
   std::vector<TopicRecord> records;
   Offset next;
   StoreEra era{};
+  /// End of the topic when the store responded; more records than these may be before it.
+  Offset end{};
 };
 
 /// A caller's request for the addresses of entry hosts.
--- a/src/libgateway/store_reader.cc
+++ b/src/libgateway/store_reader.cc
@@ -134,23 +134,59 @@
   Duration timeout = failing_ ? kSlowResponseTimeout : kResponseTimeout;
   if (const auto* newest = std::get_if<FollowNewest>(&step)) {
     call = adapter_.ReadNewest(topic_, newest->after);
+    if (newest->after.empty()) first_page_sent_ = MonotonicClock::now();
   } else {
     // A store that may not respond is not asked to hold the response.
     const Duration wait = failing_ ? Duration::zero() : options_.wait;
     call = adapter_.ReadRecords(topic_, std::get<FollowRecords>(step).from, wait);
     timeout += wait;
   }
-  store_.Call(call, timeout, [this, step, number = ++last_call_](Result<HttpMessage> response) {
+  const TimePoint sent = MonotonicClock::now();
+  const auto on_response = [this, step, sent, number = ++last_call_](Result<HttpMessage> response) {
     if (number != last_call_) return;
     call_pending_ = false;
-    OnResponse(step, std::move(response));
+    OnResponse(step, std::move(response), sent);
     if (failing_) read_requested_ = false;
     if (read_requested_) follower_.OnPauseOver();
     RunNextStep();
-  });
+  };
+  store_.Call(call, timeout, on_response);
+}
+
+void StoreReader::ReadBeside() {
+  if (beside_pending_ || failing_ || !follower_.up_to_date()) return;
+  const TimePoint now = MonotonicClock::now();
+  // A store that rejects the read is not asked again with each question of another host.
+  if (now - beside_sent_ < options_.retry_pause) return;
+  beside_pending_ = true;
+  beside_sent_ = now;
+  const FollowRecords step{follower_.position().offset};
+  store_.Call(adapter_.ReadRecords(topic_, step.from, Duration::zero()), kResponseTimeout,
+              [this, step, era = follower_.era(), sent = now](const Result<HttpMessage>& response) {
+                beside_pending_ = false;
+                OnResponseBeside(step, era, response, sent);
+              });
+}
+
+/// Leaves all that is unusual, a failure included, to the reads of RunNextStep.
+void StoreReader::OnResponseBeside(const FollowRecords& step, StoreEra era,
+                                   const Result<HttpMessage>& response, TimePoint sent) {
+  if (!response || response.value().status != kStatusOk) return;
+  const auto response_era = adapter_.ParseStoreEra(response.value().headers);
+  if (response_era && *response_era > follower_.era()) {
+    OnEra(*response_era, Duration::zero());
+    if (era_callback_) era_callback_(*response_era);
+  }
+  // An offset of one era means nothing in another.
+  if (response_era.value_or(era) != era || follower_.era() != era) return;
+  if (!follower_.up_to_date()) return;
+  const TopicPosition before = follower_.position();
+  if (!ApplyResponse(step, response.value())) return;
+  update_callback_(before);
+  if (reached_end_ && end_callback_) end_callback_(sent);
 }
 
-void StoreReader::OnResponse(const FollowStep& step, Result<HttpMessage> response) {
+void StoreReader::OnResponse(const FollowStep& step, Result<HttpMessage> response, TimePoint sent) {
   if (!response) {
     OnReadFailed(response.error().message);
     return;
@@ -175,7 +211,7 @@
     OnReadFailed(applied.error().message);
     return;
   }
-  OnReadSucceeded(step, before);
+  OnReadSucceeded(step, before, sent);
 }
 
 /// Returns false when the response is of no use: it is of an older era, or shows that the store was
@@ -196,7 +232,7 @@
   return response.status != kStatusOk || (newest != nullptr && newest->after.empty());
 }
 
-void StoreReader::OnReadSucceeded(const FollowStep& step, TopicPosition before) {
+void StoreReader::OnReadSucceeded(const FollowStep& step, TopicPosition before, TimePoint sent) {
   const bool reachable_again = failing_ || !has_responded_;
   failing_ = false;
   records_missing_ = false;
@@ -210,6 +246,7 @@
   if (follower_.up_to_date()) {
     const bool is_newest = std::holds_alternative<FollowNewest>(step);
     update_callback_(is_newest ? follower_.position() : before);
+    if (reached_end_ && end_callback_) end_callback_(is_newest ? first_page_sent_ : sent);
   }
   if (reachable_again && reachability_callback_) reachability_callback_(true);
 }
@@ -219,12 +256,14 @@
     auto page = adapter_.ParseNewest(response.body.Text());
     if (!page) return page.error();
     page.value().era = follower_.era();
+    reached_end_ = true;
     follower_.OnNewest(page.value());
     return boost::outcome_v2::success();
   }
   auto page = adapter_.ParseRecords(response.body.Text(), std::get<FollowRecords>(step).from);
   if (!page) return page.error();
   page.value().era = follower_.era();
+  reached_end_ = page.value().next >= page.value().end;
   follower_.OnRecords(page.value());
   return boost::outcome_v2::success();
 }
--- a/src/libgateway/store_reader.h
+++ b/src/libgateway/store_reader.h
@@ -37,11 +37,20 @@
   using EraCallback = std::function<void(StoreEra era)>;
   /// Precondition: called before Start.
   void SetEraCallback(EraCallback callback) { era_callback_ = std::move(callback); }
+  /// Called after each read whose response, now applied, reached the end of the topic: all records
+  /// that were in the topic at `sent` are known here.
+  using EndCallback = std::function<void(TimePoint sent)>;
+  /// Precondition: called before Start.
+  void SetEndCallback(EndCallback callback) { end_callback_ = std::move(callback); }
   void SetInterval(Duration interval) { follower_.SetInterval(interval); }
   void Start();
   /// Call when records are known to be missing here. Reads at once instead of after the pause, or
   /// soon if the last read failed. A running read is not interrupted.
   void RequestRead();
+  /// Reads once without waiting for a record, beside a running read. Does nothing while such a read
+  /// is running or was sent a moment ago, while the newest records are not known, or while the
+  /// store does not respond: it is then read without waiting anyway.
+  void ReadBeside();
   /// While set, the topic is read only after RequestRead; if the store does not respond, rare
   /// retries continue.
   void SetSuspended(bool suspended);
@@ -63,10 +72,12 @@
  private:
   void RunNextStep();
   void ReadNow();
-  void OnResponse(const FollowStep& step, Result<HttpMessage> response);
+  void OnResponse(const FollowStep& step, Result<HttpMessage> response, TimePoint sent);
+  void OnResponseBeside(const FollowRecords& step, StoreEra era,
+                        const Result<HttpMessage>& response, TimePoint sent);
   bool AcceptEra(const FollowStep& step, const HttpMessage& response);
   Result<void> ApplyResponse(const FollowStep& step, const HttpMessage& response);
-  void OnReadSucceeded(const FollowStep& step, TopicPosition before);
+  void OnReadSucceeded(const FollowStep& step, TopicPosition before, TimePoint sent);
   void LogIgnoredUpdate(const TopicUpdate& update) const;
   void OnReadFailed(const std::string& reason);
 
@@ -81,6 +92,8 @@
   bool call_pending_ = false;
   /// Number of the last call; responses to earlier ones are ignored.
   std::uint64_t last_call_ = 0;
+  bool beside_pending_ = false;
+  TimePoint beside_sent_;
   bool read_requested_ = false;
   bool suspended_ = false;
   /// Records are known to be missing here, and the last read failed.
@@ -89,6 +102,11 @@
   bool has_responded_ = false;
   ReachabilityCallback reachability_callback_;
   EraCallback era_callback_;
+  EndCallback end_callback_;
+  /// When the read of the first page of the newest records was sent.
+  TimePoint first_page_sent_;
+  /// The last response reached the end of the topic.
+  bool reached_end_ = false;
 };
 
 /// Returns the name of a topic for log lines.
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -58,6 +58,7 @@
           },
           [this](TopicPosition before) { OnServerTopicRead(before); }) {
   servers_.SetReachabilityCallback([this](bool reachable) { events_.OnStoreReachable(reachable); });
+  operators_.SetEndCallback([this](TimePoint sent) { events_.OnOperatorTopicEnd(sent); });
   operators_.SetEraCallback([this](StoreEra era) { events_.OnStoreEra(era); });
   servers_.SetEraCallback([this](StoreEra era) { events_.OnStoreEra(era); });
   ChooseSilenceTimeout();
--- a/src/libgateway/store_view.h
+++ b/src/libgateway/store_view.h
@@ -34,6 +34,8 @@
   virtual void OnStoreUpdated() = 0;
   /// The store has stopped responding to reads, or responds again.
   virtual void OnStoreReachable(bool reachable) = 0;
+  /// All operators' records that were in the store at `sent` have been delivered.
+  virtual void OnOperatorTopicEnd(TimePoint sent) = 0;
   /// The message is to be sent to the hosts for which this one reads the store.
   virtual void OnUpdateForPeers(PeerMessage message) = 0;
 };
@@ -74,6 +76,9 @@
   /// Applies the newest configuration of another host.
   void OnPeerConfig(const TopicRecord& record);
   void SetLeavingBound(Duration bound);
+  /// Reads the operators' topic now, see StoreEvents::OnOperatorTopicEnd; does nothing if such a
+  /// read is running or the store does not respond.
+  void ReadOperatorTopicEnd() { operators_.ReadBeside(); }
 
   /// True once both topics have been read since the start.
   bool complete() const { return operators_.complete() && servers_.complete(); }
