--- a/src/libgateway/fleet_view.cc
+++ b/src/libgateway/fleet_view.cc
@@ -168,6 +168,22 @@
                       [](const HostState& candidate) { return candidate.store_reachable; });
 }
 
+std::vector<RankedHost> FleetView::FirstRanked(std::size_t count, TimePoint now) const {
+  std::vector<HostState> hosts = AliveHosts(now);
+  const auto reaches_store = [](const HostState& candidate) { return candidate.store_reachable; };
+  if (std::any_of(hosts.begin(), hosts.end(), reaches_store)) {
+    std::erase_if(hosts, [](const HostState& candidate) { return !candidate.store_reachable; });
+  }
+  std::vector<RankedHost> first;
+  for (const HostState& candidate : hosts) {
+    if (first.size() == count) break;
+    const auto peer = peers_.find(candidate.host);
+    first.push_back({candidate.host, candidate.peer_address, candidate.is_self,
+                     peer == peers_.end() ? StartId() : peer->second.heartbeat.start});
+  }
+  return first;
+}
+
 std::set<HostName> FleetView::AdvertisedAndSpareHosts(const DataCentreName& data_centre,
                                                       TimePoint now) const {
   const std::size_t count = AdvertisedHosts(data_centre, now).size() + kSpareHosts;
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -35,6 +35,14 @@
   std::uint32_t count = 0;  ///< Zero when the host is not advertised.
 };
 
+/// An alive host, see FleetView::FirstRanked.
+struct RankedHost {
+  HostName host;
+  std::string peer_address;
+  bool is_self = false;
+  StartId start;  ///< Not set for this host.
+};
+
 struct FleetOptions {
   HostRecord self;
   std::string self_caller_address;
@@ -100,6 +108,9 @@
   bool IsStoreUnreachable(TimePoint now) const;
   /// Addresses of the hosts of this host's reader group, for which it may have to read.
   std::vector<std::string> StoreUpdateTargets() const;
+  /// Up to `count` alive hosts of all data centres in order of rank: those that reach the store, or
+  /// all if none does.
+  std::vector<RankedHost> FirstRanked(std::size_t count, TimePoint now) const;
   /// True when this host would be advertised even if every registered host were alive.
   bool IsAdvertisedByDefault() const;
 
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -127,6 +127,7 @@
   auto [budget, is_new] = retry_budgets_.try_emplace(call.service, deps_.retries);
   if (is_new) budget->second.SetSlackShare(slack_share_);
   budget->second.OnRequest(call.arrived);
+  if (deps_.rollout != nullptr) deps_.rollout->OnRequest(call.service);
   return true;
 }
 
@@ -169,8 +170,11 @@
     }
     return;
   }
+  const SelectionRequest request{call.service, call.tried, call.state.idempotent, hedge};
   const auto choice =
-      deps_.pool.Select({call.service, call.tried, call.state.idempotent, hedge}, now);
+      deps_.rollout == nullptr
+          ? deps_.pool.Select(request, now)
+          : deps_.rollout->Select(request, call.route->name, call.state.attempts == 0, now);
   if (const auto* chosen = std::get_if<Selection>(&choice)) {
     if (hedge && !retry_budgets_.at(call.service).TryConsume(true, now)) return;
     Dequeue(call);
@@ -252,6 +256,9 @@
   }
   Attempt attempt{AttemptId(next_attempt_++), choice.id, choice.address,
                   deps_.pool.OnSent(choice.id, now), link.value()};
+  if (deps_.rollout != nullptr) {
+    deps_.rollout->OnSent(call.service, call.route->name, attempt.context);
+  }
   ++call.state.attempts;
   ++call.state.running;
   call.tried.insert(choice.id);
@@ -303,6 +310,7 @@
   }
   links_.Release(attempt.address, attempt.link);
   deps_.pool.OnEnd(attempt.server, end, attempt.context, now);
+  RecordForRollout(*call, attempt, end, now);
   RecordLoadReport(attempt.server, end, answer.response, now);
   RecordLeaving(attempt.server, end, answer.response);
   RecordPause(attempt.server, end, answer.response, now);
@@ -338,6 +346,12 @@
             {"write_pending", answer.write_pending}});
 }
 
+void Forwarder::RecordForRollout(const Call& call, const Attempt& attempt, AttemptOutcome end,
+                                 TimePoint now) {
+  if (deps_.rollout == nullptr) return;
+  deps_.rollout->OnEnd({call.service, call.route->name, attempt.server}, attempt.context, end, now);
+}
+
 void Forwarder::RecordLoadReport(const ServerName& server, AttemptOutcome end,
                                  const HttpMessage& message, TimePoint now) {
   const std::string* load = FindHeader(message.headers, deps_.adapter.headers().load);
@@ -484,6 +498,7 @@
   for (Attempt& attempt : std::exchange(call.running, {})) {
     attempt.link->Close();
     deps_.pool.OnEnd(attempt.server, end, attempt.context, now);
+    RecordForRollout(call, attempt, end, now);
     deps_.metrics.OnAttempt(AttemptOutcomeName(end), now - attempt.context.sent);
   }
   call.state.running = 0;
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -21,6 +21,7 @@
 #include "libgateway/platform_adapter.h"
 #include "libgateway/retry_budget.h"
 #include "libgateway/retry_policy.h"
+#include "libgateway/rollout_controller.h"
 #include "libgateway/server_pool.h"
 #include "libgateway/shutdown_policy.h"
 
@@ -40,6 +41,8 @@
     /// For the bodies of responses.
     MemoryBudget& memory;
     RetryLimits retries;
+    /// Null: versions of servers are ignored.
+    RolloutController* rollout = nullptr;
   };
 
   explicit Forwarder(Dependencies deps);
@@ -110,6 +113,8 @@
   void OnAttemptEnd(CallId id, AttemptId attempt, ExchangeResult answer);
   void LogAttemptFailure(const Call& call, const Attempt& attempt, AttemptOutcome end,
                          const ExchangeResult& answer, TimePoint now) const;
+  void RecordForRollout(const Call& call, const Attempt& attempt, AttemptOutcome end,
+                        TimePoint now);
   void RecordLoadReport(const ServerName& server, AttemptOutcome end, const HttpMessage& message,
                         TimePoint now);
   void RecordLeaving(const ServerName& server, AttemptOutcome end, const HttpMessage& message);
--- a/src/libgateway/gateway_metrics.cc
+++ b/src/libgateway/gateway_metrics.cc
@@ -31,6 +31,16 @@
       .Observe(took);
 }
 
+void GatewayMetrics::OnVersionAttempt(const ServiceName& service, const ServerVersion& version,
+                                      std::string_view end) {
+  metrics_
+      .CounterFor("mulberry_version_attempts_total", "Sends by version of the server and their end",
+                  {{"service", service.str()},
+                   {"server_version", version.str()},
+                   {"end", std::string(end)}})
+      .Add();
+}
+
 void GatewayMetrics::OnRetry(std::string_view reason) {
   metrics_
       .CounterFor("mulberry_retries_total", "Further sends of a request",
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -15,6 +15,9 @@
   void OnResponse(const ServiceName& service, int status, Duration took);
   void OnRefusal(std::string_view reason);
   void OnAttempt(std::string_view end, Duration took);
+  /// A send to a server of a version has ended; counted where rollouts are on.
+  void OnVersionAttempt(const ServiceName& service, const ServerVersion& version,
+                        std::string_view end);
   void OnRetry(std::string_view reason);
   void OnHealthCheck(std::string_view end);
   void OnCallerDisconnected();
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -117,7 +117,9 @@
           },
           [this](StoreEra era) { OnStoreEra(era); }),
       peer_channel_(io, [this](const PeerMessage& message) { OnPeerMessage(message); }),
-      forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries}),
+      rollout_(MakeRolloutController()),
+      forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries,
+                  rollout_ ? &*rollout_ : nullptr}),
       health_checker_(io, adapter, pool_, metrics_),
       load_report_sync_({io, pool_, fleet_, forwarder_, health_checker_, peer_channel_,
                          [this] { return OwnHeartbeat(); }}),
@@ -138,6 +140,18 @@
 
 GatewayNode::~GatewayNode() = default;
 
+std::optional<RolloutController> GatewayNode::MakeRolloutController() {
+  if (!settings_.rollout) return std::nullopt;
+  return std::optional<RolloutController>(
+      std::in_place,
+      RolloutController::Parts{adapter_, pool_, fleet_, store_, metrics_, settings_.host, start_,
+                               *settings_.rollout,
+                               [this](PeerMessage message, const std::string& address) {
+                                 message.heartbeat = OwnHeartbeat();
+                                 peer_channel_.Send(message, {address});
+                               }});
+}
+
 Result<void> GatewayNode::Start() {
   const auto callers = ParseEndpoint(settings_.callers);
   if (!callers) return callers.error();
@@ -164,6 +178,7 @@
     ApplyConfig(std::move(config->config), now);
     return;
   }
+  if (rollout_) rollout_->OnOperatorUpdate(update, now);
   const auto* out = std::get_if<DataCentreOutUpdate>(&update);
   if (out == nullptr) return;
   LogEvent(LogLevel::kInfo, out->out ? "data_centre_out" : "data_centre_back",
@@ -225,9 +240,11 @@
 void GatewayNode::OnStoreEra(StoreEra era) {
   store_view_.OnEra(era, MonotonicClock::now());
   host_list_.OnEra(era);
+  if (rollout_) rollout_->OnStoreEra(era);
 }
 
 void GatewayNode::OnStoreUpdated() {
+  if (rollout_ && store_view_.complete()) rollout_->OnServersChanged();
   forwarder_.DispatchQueued();
   CheckReady();
 }
@@ -262,6 +279,7 @@
   if (message.config_record) store_view_.OnPeerConfig(*message.config_record);
   if (message.server_update || message.operator_update) store_view_.OnPeerUpdate(message, now);
   if (load_report_sync_.OnPeerMessage(message, now)) forwarder_.DispatchQueued();
+  if (rollout_) rollout_->OnPeerMessage(message, now);
   const HostHeartbeat& sender = message.heartbeat;
   if (store_view_.OnPeerState({store_view_.applied_operator_position(), config_.version()},
                               {sender.operator_position, sender.version}, now)) {
@@ -386,6 +404,7 @@
   directory_server_.Sweep(now);
   metrics_server_.Sweep(now);
   forwarder_.Sweep(now);
+  if (rollout_ && store_view_.complete()) rollout_->Tick(store_view_.reachable(), now);
   forwarder_.DispatchQueued();
   UpdateGauges();
   FlushLog();
@@ -427,6 +446,7 @@
   settings_.retries = settings.retries;
   settings_.cold_overage = settings.cold_overage;
   settings_.cold_slack = settings.cold_slack;
+  if (rollout_ && settings.rollout) rollout_->SetLimits(*settings.rollout);
   pool_.SetColdLimit(settings.cold_overage, settings.cold_slack);
   forwarder_.SetRetryLimits(settings.retries);
   if (settings.store_address != settings_.store_address) {
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -18,6 +18,7 @@
 #include "libgateway/load_report_sync.h"
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
+#include "libgateway/rollout_controller.h"
 #include "libgateway/server_pool.h"
 #include "libgateway/shutdown_policy.h"
 #include "libgateway/store_client.h"
@@ -59,6 +60,7 @@
   void OnUpdateForPeers(PeerMessage message) override;
 
   void ApplyConfig(Config config, TimePoint now);
+  std::optional<RolloutController> MakeRolloutController();
   HostHeartbeat OwnHeartbeat() const;
   void MeasureRequestRate(TimePoint now);
   HttpResponse HandleReadiness(const HttpMessage& request) const;
@@ -92,6 +94,7 @@
   StoreView store_view_;
   HostList host_list_;
   PeerChannel peer_channel_;
+  std::optional<RolloutController> rollout_;  ///< Set where rollouts are on.
   Forwarder forwarder_;
   HealthChecker health_checker_;
   LoadReportSync load_report_sync_;
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -5,6 +5,7 @@
 
 #include "gateway.pb.h"
 #include "libgateway/connection_pool.h"
+#include "libgateway/rollout_codec.h"
 
 namespace mulberry::gateway {
 namespace {
@@ -72,6 +73,12 @@
   if (message.server_update) EncodeUpdate(*message.server_update, out.mutable_server_news());
   if (message.operator_update) EncodeUpdate(*message.operator_update, out.mutable_operator_news());
   if (message.config_record) EncodeRecord(*message.config_record, out.mutable_config_record());
+  if (message.rollout_report) {
+    EncodeRolloutReport(*message.rollout_report, out.mutable_rollout_report());
+  }
+  if (message.rollout_state) {
+    EncodeRolloutState(*message.rollout_state, out.mutable_rollout_state());
+  }
   for (const auto& [server, count] : message.in_flight) {
     wire::InFlight* added = out.add_in_flight();
     added->set_id(server.str());
@@ -112,6 +119,8 @@
   if (in.has_server_news()) message.server_update = DecodeUpdate(in.server_news());
   if (in.has_operator_news()) message.operator_update = DecodeUpdate(in.operator_news());
   if (in.has_config_record()) message.config_record = DecodeRecord(in.config_record());
+  if (in.has_rollout_report()) message.rollout_report = DecodeRolloutReport(in.rollout_report());
+  if (in.has_rollout_state()) message.rollout_state = DecodeRolloutState(in.rollout_state());
   if (heartbeat.record.host.empty() || !ParseEndpoint(heartbeat.record.peer_address) ||
       !ParseEndpoint(heartbeat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "datagram without a host name or a valid address");
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -38,6 +38,9 @@
   bool wants_operator_records = false;
   /// The record of the sender's configuration.
   std::optional<TopicRecord> config_record;
+  /// What the sender tells the coordinator of a rollout, and the coordinator's answer.
+  std::optional<rollout::Report> rollout_report;
+  std::optional<rollout::StateUpdate> rollout_state;
 };
 
 /// Sends and receives UDP datagrams between entry hosts. Each carries the whole current state, so a
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -88,11 +88,11 @@
     by_service_[entry.service].push_back(entry.id);
   }
   if (is_new) by_service_[entry.service].push_back(entry.id);
-  const bool changed = is_new || restarted || server.entry.service != entry.service ||
-                       server.entry.address != entry.address ||
-                       server.entry.leaving != entry.leaving || server.entry.slots != entry.slots ||
-                       server.entry.data_centre != entry.data_centre ||
-                       entry.cold_time_left > Duration::zero();
+  const bool changed =
+      is_new || restarted || server.entry.service != entry.service ||
+      server.entry.address != entry.address || server.entry.leaving != entry.leaving ||
+      server.entry.slots != entry.slots || server.entry.data_centre != entry.data_centre ||
+      server.entry.version != entry.version || entry.cold_time_left > Duration::zero();
   server.entry = entry;
   const auto announced = announced_leaving_.find(entry.id);
   server.leaving_announced =
@@ -142,6 +142,7 @@
   for (const ServerName& id : by_service_[request.service]) {
     Server& server = servers_.at(id);
     if (request.tried.count(id) != 0 || !IsUsable(server, now)) continue;
+    if (request.accepts != nullptr && !(*request.accepts)(server.entry)) continue;
     if (now < server.paused_until) {
       if (reason == NoServerReason::kNoServer) reason = NoServerReason::kAllPaused;
       continue;
@@ -184,12 +185,14 @@
 }
 
 AttemptContext ServerPool::OnSent(const ServerName& id, TimePoint now) {
-  AttemptContext context{now, false, 1};
+  AttemptContext context{now, false, 1, {}, false};
   const auto found = servers_.find(id);
   if (found == servers_.end()) return context;
   Server& server = found->second;
   context.near_full = LoadOf(server, now) + 1 > MaxSlots(server, options_.near_full_fraction);
   context.slowness = SlownessOf(server, ServiceStateOf(server.entry.service), now);
+  context.version = server.entry.version;
+  context.cold = now < server.cold_until;
   ++server.in_flight;
   ++server.sends_since_report;
   server.cold_sends.push_back(now);
@@ -378,6 +381,12 @@
   return slots;
 }
 
+std::map<ServiceName, std::vector<const ServerEntry*>> ServerPool::EntriesByService() const {
+  std::map<ServiceName, std::vector<const ServerEntry*>> entries;
+  for (const auto& [id, server] : servers_) entries[server.entry.service].push_back(&server.entry);
+  return entries;
+}
+
 double ServerPool::LocalUsableShare(TimePoint now) const {
   std::size_t local = 0;
   std::size_t usable = 0;
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -50,6 +51,8 @@
   bool idempotent = false;
   /// A second attempt for a slow request; it goes only to a server with a low load.
   bool hedge = false;
+  /// Which servers may be selected; null: all.
+  const std::function<bool(const ServerEntry&)>* accepts = nullptr;
 };
 
 /// The selected server.
@@ -70,6 +73,8 @@
   bool near_full = false;
   /// The known slowness of the server's machine when the attempt started.
   double slowness = 1;
+  ServerVersion version;
+  bool cold = false;
 };
 
 /// A health check to send.
@@ -174,6 +179,8 @@
   Duration ServiceTime(const ServiceName& service, Duration fallback) const;
   std::size_t size() const { return servers_.size(); }
   std::size_t SlotsOf(const ServiceName& service) const;
+  /// The entries of each service's servers. Valid until the next change of a server.
+  std::map<ServiceName, std::vector<const ServerEntry*>> EntriesByService() const;
   /// Fraction, 0 to 1, of the servers of this host's data centre that accept requests; 1 when it
   /// has no servers.
   double LocalUsableShare(TimePoint now) const;
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -183,6 +183,13 @@
     ApplyDataCentre(*data_centre, source);
     return;
   }
+  const bool is_withdrawn = std::holds_alternative<RolloutWithdrawnUpdate>(update.value());
+  if (is_withdrawn && source == RecordSource::kMissing &&
+      MonotonicClock::now() < relay_all_until_) {
+    // The copy is older than the order, which stands.
+    LogEvent(LogLevel::kInfo, "rollout_order_missing", {{"key", record.key}});
+    return;
+  }
   const auto* config = std::get_if<ConfigUpdate>(&update.value());
   if (config != nullptr && config->config.version > newest_version_) {
     newest_version_ = config->config.version;
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -80,6 +80,12 @@
   /// The offset that the next record of the topic gets.
   std::uint64_t End(const std::string& name) { return topics_[name].End(); }
 
+  /// The newest value of a key, empty without one.
+  std::string Value(const std::string& name, const std::string& key) {
+    const auto found = topics_[name].newest.find(key);
+    return found == topics_[name].newest.end() ? "" : found->second.value;
+  }
+
   std::size_t Keys(const std::string& name) { return topics_[name].newest.size(); }
 
   void OnRequest(gateway::ExchangeId exchange, gateway::HttpMessage request, TimePoint) override {
@@ -93,7 +99,7 @@
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string topic = QueryField(request.target, "Topic");
     if (path == "/log-append") {
-      OnAppend(exchange, topic, request.body.Text());
+      OnAppend(exchange, topic, QueryField(request.target, "At"), request.body.Text());
     } else if (path == "/log-newest") {
       OnNewest(exchange, topic);
     } else if (path == "/log-read") {
@@ -143,7 +149,13 @@
         body);
   }
 
-  void OnAppend(gateway::ExchangeId exchange, const std::string& topic, const std::string& body) {
+  /// `at`: if not empty, the append takes effect only if the topic ends there.
+  void OnAppend(gateway::ExchangeId exchange, const std::string& topic, const std::string& at,
+                const std::string& body) {
+    if (!at.empty() && std::stoull(at) != topics_[topic].End()) {
+      Respond(exchange, 412, "");
+      return;
+    }
     const auto page = DecodeRecords(std::string(16, '\0') + body, Offset(0));
     if (!page) {
       Respond(exchange, 400, "");
--- a/tests/platform/node_fixture.h
+++ b/tests/platform/node_fixture.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,9 +35,10 @@
 
 /// The store entry of a backend server.
 inline std::string EntryText(const std::string& service, const std::string& address,
-                             const std::string& state = "ready") {
+                             const std::string& state = "ready",
+                             const std::string& version = "v1") {
   return R"({"Service":")" + service + R"(","Address":")" + address +
-         R"(","Zone":"here","Version":"v1","Slots":8,"State":")" + state +
+         R"(","Zone":"here","Version":")" + version + R"(","Slots":8,"State":")" + state +
          R"(","WarmupLeftMs":0,"Seq":1,"born":1700000000123})";
 }
 
@@ -71,6 +73,7 @@
     node_settings.first_start = true;
     node_settings.leaving_bound = std::chrono::milliseconds(800);
     node_settings.grace = std::chrono::seconds(4);
+    if (change_settings) change_settings(&node_settings);
     settings.push_back(node_settings);
     nodes.push_back(std::make_unique<gateway::GatewayNode>(io, node_settings, *adapter,
                                                            StartId(nodes.size() + 1)));
@@ -103,6 +106,8 @@
   FakeBackendServer server_one;
   FakeBackendServer server_two;
   std::string store_address;
+  /// Called with the settings of each node before it starts.
+  std::function<void(gateway::GatewaySettings*)> change_settings;
   std::vector<gateway::GatewaySettings> settings;
   std::vector<std::unique_ptr<gateway::GatewayNode>> nodes;
   int requests_sent = 0;
--- /dev/null
+++ b/tests/platform/rollout_test.cc
@@ -0,0 +1,194 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "node_fixture.h"
+
+namespace mulberry::platform {
+namespace {
+
+constexpr const char* kOrderKey = "rollout/s";
+
+std::string OrderText(const std::string& target, int seconds) {
+  return R"({"Service":"s","TargetVersion":")" + target + R"(","DurationS":)" +
+         std::to_string(seconds) + "}";
+}
+
+/// Two nodes, of which the first one decides, and a second server of service s with version v2.
+struct RolloutFixture : NodeFixture {
+  RolloutFixture() : target(io, "i-3", "s") {
+    change_settings = [](gateway::GatewaySettings* node) {
+      node->rollout = rollout::Limits{0.1, 50, std::chrono::milliseconds(5000)};
+      // The host of most capacity ranks first.
+      if (node->host == HostName("host-1")) node->processor_share = 2;
+    };
+    store.Put("keyed.servers", "i-3", EntryText("s", Open(target), "ready", "v2"));
+  }
+  void AddNodes() {
+    AddNode();
+    AddNode();
+    gateway::RunUntil(io, [&] { return IsReady(0) && IsReady(1); });
+    // Each knows that the other one is alive.
+    gateway::RunFor(io, std::chrono::milliseconds(900));
+  }
+  void Order(const std::string& text) { store.Put("keyed.op", kOrderKey, text); }
+  std::string Status() { return store.Value("keyed.status", kOrderKey); }
+  bool HasState(const std::string& state) {
+    return Status().find("\"State\":\"" + state + "\"") != std::string::npos;
+  }
+  /// Sends requests to the nodes that are left until the state is in the store; returns whether it
+  /// is within the time.
+  bool SendUntil(const std::string& state, std::chrono::milliseconds time) {
+    const TimePoint end = MonotonicClock::now() + time;
+    while (!HasState(state) && MonotonicClock::now() < end) SendOnce();
+    return HasState(state);
+  }
+  void SendFor(std::chrono::milliseconds time) {
+    const TimePoint end = MonotonicClock::now() + time;
+    while (MonotonicClock::now() < end) SendOnce();
+  }
+  void SendOnce() {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i]) Get(settings[i].callers, "/read/x");
+    }
+  }
+
+  FakeBackendServer target;
+};
+
+TEST_CASE_FIXTURE(RolloutFixture, "a good version gets nothing before the order and all after") {
+  // Guards against requests that no order allows, and against one to a server that was stopped.
+  AddNodes();
+  const std::uint64_t calls = store.calls();
+  SendFor(std::chrono::milliseconds(300));
+  CHECK(target.runs().empty());
+  CHECK(Status().empty());
+  Order(OrderText("v2", 6));
+  CHECK(SendUntil("running", std::chrono::seconds(3)));
+  CHECK(SendUntil("completed", std::chrono::milliseconds(6000)));
+  const std::size_t old_runs = server_one.runs().size();
+  SendFor(std::chrono::milliseconds(300));
+  CHECK(server_one.runs().size() == old_runs);
+  CHECK(target.runs().size() > 0);
+  // The status: one read, two writes, and the reads of the other topics.
+  CHECK(store.calls() - calls < 60);
+  // An order for the same version changes nothing.
+  const std::uint64_t end = store.End("keyed.status");
+  Order(OrderText("v2", 6));
+  SendFor(std::chrono::milliseconds(600));
+  CHECK(store.End("keyed.status") == end);
+  CHECK(HasState("completed"));
+}
+
+TEST_CASE_FIXTURE(RolloutFixture,
+                  "a version that fails is taken back, also with the order in place") {
+  // Guards against a version that is tried again after it was taken back.
+  AddNodes();
+  target.SetMode(BackendMode::kFailing);
+  Order(OrderText("v2", 8));
+  CHECK(SendUntil("rolled_back", std::chrono::seconds(8)));
+  CHECK(Status().find("failures") != std::string::npos);
+  const std::size_t runs = target.runs().size();
+  SendFor(std::chrono::milliseconds(400));
+  Order(OrderText("v2", 8));
+  SendFor(std::chrono::milliseconds(400));
+  CHECK(target.runs().size() == runs);
+  CHECK(HasState("rolled_back"));
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "the coordinator is killed between its decision and the record") {
+  // Guards against a version that is tried again because its verdict was not written.
+  AddNodes();
+  target.SetMode(BackendMode::kFailing);
+  Order(OrderText("v2", 8));
+  REQUIRE(SendUntil("running", std::chrono::seconds(3)));
+  store.SetMode(StoreMode::kUnavailable);
+  SendFor(std::chrono::milliseconds(4000));
+  const std::size_t runs = target.runs().size();
+  CHECK(runs > 0);
+  CHECK(HasState("running"));
+  nodes[0].reset();
+  store.SetMode(StoreMode::kServing);
+  CHECK(SendUntil("rolled_back", std::chrono::seconds(7)));
+  CHECK(target.runs().size() == runs);
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "the store is away during the shift") {
+  // Guards against a rollout that stands still without the store.
+  AddNodes();
+  Order(OrderText("v2", 6));
+  REQUIRE(SendUntil("running", std::chrono::seconds(3)));
+  store.SetMode(StoreMode::kUnavailable);
+  SendFor(std::chrono::milliseconds(6000));
+  const std::size_t old_runs = server_one.runs().size();
+  SendFor(std::chrono::milliseconds(300));
+  CHECK(server_one.runs().size() == old_runs);
+  CHECK(HasState("running"));
+  store.SetMode(StoreMode::kServing);
+  CHECK(SendUntil("completed", std::chrono::seconds(5)));
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "a restored store lacks the final status") {
+  // Guards against a final state that is lost or reversed.
+  AddNodes();
+  Order(OrderText("v2", 6));
+  REQUIRE(SendUntil("running", std::chrono::seconds(3)));
+  store.SaveCopy();
+  REQUIRE(SendUntil("completed", std::chrono::seconds(6)));
+  store.Restore();
+  CHECK_FALSE(HasState("completed"));
+  CHECK(SendUntil("completed", std::chrono::seconds(5)));
+  const std::size_t old_runs = server_one.runs().size();
+  SendFor(std::chrono::milliseconds(300));
+  CHECK(server_one.runs().size() == old_runs);
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "an order is invalid, then withdrawn while it runs") {
+  // Guards against an order that stays without an answer.
+  AddNodes();
+  Order(R"({"Service":"s","TargetVersion":"v2","DurationS":8,"Extra":1})");
+  CHECK(SendUntil("rolled_back", std::chrono::seconds(3)));
+  CHECK(Status().find("invalid order") != std::string::npos);
+  CHECK(target.runs().empty());
+  Order(OrderText("v2", 8));
+  CHECK(SendUntil("running", std::chrono::seconds(3)));
+  SendFor(std::chrono::milliseconds(1800));
+  store.Put("keyed.op", kOrderKey, std::nullopt);
+  CHECK(SendUntil("rolled_back", std::chrono::seconds(3)));
+  CHECK(Status().find("withdrawn") != std::string::npos);
+  const std::size_t runs = target.runs().size();
+  SendFor(std::chrono::milliseconds(400));
+  CHECK(target.runs().size() == runs);
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "a restarted host learns the state before it uses the version") {
+  // Guards against a host that takes up an order that was taken back.
+  AddNodes();
+  target.SetMode(BackendMode::kFailing);
+  Order(OrderText("v2", 8));
+  REQUIRE(SendUntil("rolled_back", std::chrono::seconds(8)));
+  const std::size_t runs = target.runs().size();
+  nodes[0].reset();
+  nodes[1].reset();
+  AddNode();
+  gateway::RunUntil(io, [&] { return IsReady(2); });
+  SendFor(std::chrono::milliseconds(3500));
+  CHECK(target.runs().size() == runs);
+  CHECK(HasState("rolled_back"));
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "without the settings, versions are ignored") {
+  // Guards against a change for deployments that order no rollouts.
+  change_settings = nullptr;
+  AddNodes();
+  Order(OrderText("v2", 6));
+  SendFor(std::chrono::milliseconds(800));
+  CHECK(target.runs().size() > 0);
+  CHECK(server_one.runs().size() > 0);
+  CHECK(store.End("keyed.status") == 0);
+}
+
+}  // namespace
+}  // namespace mulberry::platform
