--- a/src/libgateway/rollout_controller.cc
+++ b/src/libgateway/rollout_controller.cc
@@ -118,7 +118,9 @@
   const auto of_target = counts.find(target);
   state.target_servers = of_target == counts.end() ? 0 : of_target->second;
   if (phase == rollout::Phase::kRolledBack) counts.erase(target);
-  if (state.order && phase == rollout::Phase::kCompleted) state.in_force = target;
+  if (state.order && phase == rollout::Phase::kCompleted && state.target_servers > 0) {
+    state.in_force = target;
+  }
   state.usable = rollout::ChooseInForce(counts, state.in_force, target);
   if ((state.in_force.empty() || rollout::IsFinal(phase)) && state.usable != state.in_force) {
     LogEvent(LogLevel::kInfo, "version_in_force",
@@ -356,7 +358,10 @@
                                ? state.order->UseFor(route, first_attempt && !request.hedge, now)
                                : rollout::Use::kOther;
   const ServerVersion target = state.order ? state.order->order().target : ServerVersion();
-  if (use == rollout::Use::kTargetFirst || use == rollout::Use::kTargetOnly) {
+  // After its end, a version that has been replaced under a new version string is left like any
+  // other.
+  const bool is_over = state.order && state.order->phase() == rollout::Phase::kCompleted;
+  if (!is_over && (use == rollout::Use::kTargetFirst || use == rollout::Use::kTargetOnly)) {
     const bool in_canary = state.order->phase() == rollout::Phase::kCanary;
     const std::function<bool(const ServerEntry&)> accepts = [&](const ServerEntry& entry) {
       return entry.version == target && (!in_canary || state.canary_servers.contains(entry.id));
--- a/src/libgateway/rollout_status_log.cc
+++ b/src/libgateway/rollout_status_log.cc
@@ -13,11 +13,10 @@
 constexpr Duration kMaxRetryPause = std::chrono::milliseconds(1500);
 constexpr int kStatusOk = 200;
 
-/// A reason that changes by itself is not worth a call, unless it answers an invalid order.
+/// Reasons of running orders change by themselves and are not worth a call.
 bool Holds(const rollout::Status* held, const rollout::Status& wanted) {
-  return held != nullptr && held->target == wanted.target && held->state == wanted.state &&
-         (held->reason == wanted.reason || wanted.state == rollout::State::kRunning ||
-          wanted.reason.find("ignored") == std::string::npos);
+  if (held == nullptr || held->target != wanted.target || held->state != wanted.state) return false;
+  return wanted.state == rollout::State::kRunning || held->reason == wanted.reason;
 }
 
 }  // namespace
--- a/src/librollout/coordinator.cc
+++ b/src/librollout/coordinator.cc
@@ -6,8 +6,9 @@
 namespace mulberry::rollout {
 namespace {
 
-/// A new coordinator decides and grants nothing for this long, so that grants of a former one have
-/// ended and hosts have reported.
+/// A new coordinator decides nothing until hosts have reported: three reports of each.
+constexpr Duration kFirstReportsTime = std::chrono::milliseconds(600);
+/// A new coordinator grants nothing until grants of a former one have ended and are reported.
 constexpr Duration kTakeoverTime = kStateLifetime + std::chrono::milliseconds(200);
 /// A host without a report for this long has left the target, and is not waited for.
 constexpr Duration kSilentAfter = 2 * kStateLifetime;
@@ -17,6 +18,7 @@
 constexpr double kCanaryEnd = 0.6;
 constexpr double kCanaryLatestEnd = 0.72;
 constexpr double kShiftTime = 0.08;
+constexpr double kShiftLatestEnd = 0.82;
 constexpr double kDrainLatestEnd = 0.9;
 /// Parts of the limits that are granted; the rest is for a second coordinator, and for grants that
 /// a killed one gave last.
@@ -109,7 +111,7 @@
 }
 
 bool Coordinator::GrantsNow(TimePoint now) const {
-  if (phase_ != Phase::kCanary || in_force_ || TakingOver(now)) return false;
+  if (phase_ != Phase::kCanary || in_force_ || !took_over_) return false;
   if (ElapsedFraction(now) < kBurstsFrom * kCanaryEnd) return true;
   return (now - seen_at_) % kBurstPeriod < kBurstTime;
 }
@@ -183,12 +185,16 @@
     Enter(Phase::kRolledBack, "no response from a warm server of the version", now);
     return;
   }
+  if (verdict.doubtful) {
+    Enter(Phase::kRolledBack, "too few responses: " + verdict.reason, now);
+    return;
+  }
   Enter(Phase::kShift, verdict.reason, now);
 }
 
 void Coordinator::Tick(std::size_t target_servers, TimePoint now) {
-  if (IsFinal(phase_) || TakingOver(now)) return;
-  if (!std::exchange(took_over_, true)) {
+  if (IsFinal(phase_) || now < created_at_ + kFirstReportsTime) return;
+  if (!TakingOver(now) && !std::exchange(took_over_, true)) {
     std::uint64_t reported = 0;
     for (const auto& [key, host] : hosts_) reported += host.report.sent;
     unreported_ = former_exposed_ - std::min(former_exposed_, reported);
@@ -212,7 +218,8 @@
   } else if (phase_ == Phase::kShift) {
     const Duration shift_time(
         static_cast<std::int64_t>(kShiftTime * static_cast<double>(order_.duration.count())));
-    if (now - entered_at_ >= shift_time) Enter(Phase::kDrain, verdict.reason, now);
+    const bool is_late = ElapsedFraction(now) >= kShiftLatestEnd;
+    if (is_late || now - entered_at_ >= shift_time) Enter(Phase::kDrain, verdict.reason, now);
   } else if (AllLeftOthers(now) || ElapsedFraction(now) >= kDrainLatestEnd) {
     Enter(Phase::kCommit, in_force_ ? "" : verdict.reason, now);
   }
--- a/src/librollout/evidence.cc
+++ b/src/librollout/evidence.cc
@@ -28,18 +28,28 @@
 /// Response times are compared from this number of responses of each version on.
 constexpr std::uint32_t kMinTimedResponses = 15;
 /// A half of the target's servers with fewer responses says nothing.
-constexpr std::uint32_t kMinHalfResponses = 8;
+constexpr std::uint32_t kMinHalfResponses = 4;
 /// Part of the excess over all servers that each half must show.
 constexpr double kMinHalfFraction = 0.3;
+/// Each half must differ from the other version by itself, though less surely than both together:
+/// one faulty server and a chance failure in the other half are no evidence.
+constexpr double kMaxHalfChance = 1e-3;
+constexpr double kMinHalfDeviations = 3;
 /// Evidence of one half alone may be a single faulty server, so more is asked for.
 constexpr std::uint32_t kMinFailuresOneHalf = 15;
 constexpr double kMinSlowDeviationsOneHalf = 8;
+/// With too few responses for a verdict, this many failures and this part of the responses suffice
+/// to take a version back; ejected servers give no more.
+constexpr std::uint32_t kMinFailuresOfFew = 3;
+constexpr double kFailureRateOfFew = 0.25;
 /// Responses of the target that suffice on one route: with them, failures of a fifth of the
 /// responses are found with 98 % probability.
 constexpr std::uint32_t kEnoughResponses = 40;
 /// A route with a smaller part of the responses need not be judged by itself.
 constexpr double kMinTrafficFraction = 0.01;
 constexpr double kBucketsPerDoubling = 2;
+/// Variance of a rate at least: that of one slow response in a hundred.
+constexpr double kMinVariance = 0.01;
 
 /// Probability that a Poisson variable of this mean is at least `count`.
 double PoissonTail(double mean, std::uint32_t count) {
@@ -78,6 +88,7 @@
     const ResponseCounts& half = counts.half(i);
     if (half.responses < kMinHalfResponses) continue;
     if (Rate(half.failures, half.responses) < usual + kMinHalfFraction * excess) return {};
+    if (PoissonTail(usual * half.responses, half.failures) > kMaxHalfChance) return {};
   }
   return "failures " + Share(target.failures, target.responses) + ", other version " +
          Share(counts.other().failures, counts.other().responses);
@@ -98,16 +109,18 @@
   const double excess = Rate(slow, responses) - usual_rate;
   if (excess < (shifting ? kMinSlowExcessShifting : kMinSlowExcess)) return {};
   const double pooled = Rate(slow + usual_slow, responses + usual.total());
-  const double deviation =
-      std::sqrt(std::max(pooled * (1 - pooled), 1e-4) * (1.0 / responses + 1.0 / usual.total()));
+  const double deviation = std::sqrt(std::max(pooled * (1 - pooled), kMinVariance) *
+                                     (1.0 / responses + 1.0 / usual.total()));
   const bool one_half = HalvesWithResponses(counts) < 2;
   if (excess < deviation * (one_half ? kMinSlowDeviationsOneHalf : kMinSlowDeviations)) return {};
   for (std::size_t i = 0; i < 2; ++i) {
     const TimeHistogram& half = counts.half(i).times;
     if (half.total() < kMinHalfResponses) continue;
-    if (Rate(half.CountAbove(bucket), half.total()) < usual_rate + kMinHalfFraction * excess) {
-      return {};
-    }
+    const double half_excess = Rate(half.CountAbove(bucket), half.total()) - usual_rate;
+    const double half_deviation =
+        std::sqrt(std::max(usual_rate * (1 - usual_rate), kMinVariance) / half.total());
+    if (half_excess < kMinHalfFraction * excess) return {};
+    if (half_excess < kMinHalfDeviations * half_deviation) return {};
   }
   return "above " + std::to_string(static_cast<int>(slow_ms)) + " ms " + Share(slow, responses) +
          ", other version " + Share(usual_slow, usual.total());
@@ -190,17 +203,21 @@
   verdict.enough = target_responses >= kEnoughResponses;
   for (const auto& [route, counts] : evidence) {
     const std::string reason = JudgeRoute(counts, shifting);
-    if (!reason.empty()) return {true, true, "route " + route + ": " + reason};
+    if (!reason.empty()) return {true, true, false, "route " + route + ": " + reason};
     const std::uint32_t of_target = counts.Target().responses;
     const double on_route = counts.other().responses + static_cast<double>(of_target);
     if (on_route >= kMinTrafficFraction * responses && of_target < kEnoughResponses) {
       verdict.enough = false;
     }
   }
+  const std::uint32_t failures = all.Target().failures;
+  verdict.doubtful = !verdict.enough && failures >= kMinFailuresOfFew &&
+                     Rate(failures, target_responses) >=
+                         kFailureRateOfFew + Rate(all.other().failures, all.other().responses);
   // Response times of routes differ, and so may the routes' parts of the two versions' responses;
   // failures can be added.
   const std::string reason = JudgeFailures(all, shifting);
-  if (!reason.empty()) return {true, true, "all routes: " + reason};
+  if (!reason.empty()) return {true, true, false, "all routes: " + reason};
   verdict.reason = "failures " + Share(all.Target().failures, target_responses) +
                    ", other version " + Share(all.other().failures, all.other().responses);
   return verdict;
--- a/src/librollout/evidence.h
+++ b/src/librollout/evidence.h
@@ -72,6 +72,8 @@
   bool bad = false;
   /// Enough responses on each route that has traffic.
   bool enough = false;
+  /// Too few responses, and many of them failures: not to be completed.
+  bool doubtful = false;
   std::string reason;  ///< With the figures that it rests on.
 };
 
--- a/tests/rollout/rollout_test.cc
+++ b/tests/rollout/rollout_test.cc
@@ -176,6 +176,7 @@
         model.RunUntil(std::chrono::milliseconds(killed_at_ms + 1600));
         model.SetCoordinator(1);
         const ModelResult result = model.Run();
+        INFO("seed ", seed, ", killed at ", killed_at_ms, " ms: ", result.reason);
         if (fault == Fault::kNone) {
           CHECK(result.phase == Phase::kCompleted);
           CHECK(result.decided_after < options.duration);
@@ -255,7 +256,9 @@
   const Order order{ServiceName("s"), ServerVersion("v2"), std::chrono::seconds(10)};
   const TimePoint start{std::chrono::hours(1)};
   HostRollout host(order, start);
-  StateUpdate state{order.service, order.target, Phase::kCanary};
+  StateUpdate state;
+  state.service = order.service;
+  state.target = order.target;
   state.host_time = start.time_since_epoch().count();
   state.granted = 5;
   host.OnState(state, start + kStateLifetime);
