--- a/src/librollout/coordinator.cc
+++ b/src/librollout/coordinator.cc
@@ -24,8 +24,9 @@
 /// a killed one gave last.
 constexpr double kGrantedShare = 0.85;
 constexpr double kGrantedSlack = 0.4;
-/// A host sends at most this part of its requests to the target, so that it can compare.
-constexpr double kMaxTargetPart = 0.5;
+/// A host sends at most this part of its requests to the target: two servers of ten then run at one
+/// and a half times the usual load, which doesn't fill them.
+constexpr double kMaxTargetPart = 0.3;
 /// From this part of the canary phase on, grants come in bursts, so that the few servers that get
 /// them run under load: in the first part of each period.
 constexpr double kBurstsFrom = 0.35;
--- a/src/librollout/evidence.cc
+++ b/src/librollout/evidence.cc
@@ -20,8 +20,8 @@
 /// twice the usual time, stay below it.
 constexpr double kSlowFactor = 2.5;
 /// Smallest part of the responses by which slow ones must exceed the other version's.
-constexpr double kMinSlowExcess = 0.12;
-constexpr double kMinSlowExcessShifting = 0.2;
+constexpr double kMinSlowExcess = 0.18;
+constexpr double kMinSlowExcessShifting = 0.25;
 /// Standard deviations of the difference: a chance of about 1e-6, with room for the times of
 /// successive responses not being independent.
 constexpr double kMinSlowDeviations = 5;
@@ -33,8 +33,8 @@
 constexpr double kMinHalfFraction = 0.3;
 /// Each half must differ from the other version by itself, though less surely than both together:
 /// one faulty server and a chance failure in the other half are no evidence.
-constexpr double kMaxHalfChance = 1e-3;
-constexpr double kMinHalfDeviations = 3;
+constexpr double kMaxHalfChance = 1e-4;
+constexpr double kMinHalfDeviations = 3.7;
 /// Evidence of one half alone may be a single faulty server, so more is asked for.
 constexpr std::uint32_t kMinFailuresOneHalf = 15;
 constexpr double kMinSlowDeviationsOneHalf = 8;
--- a/tests/rollout/rollout_model.cc
+++ b/tests/rollout/rollout_model.cc
@@ -9,6 +9,7 @@
 constexpr std::size_t kServers = 10;  ///< Of each version.
 constexpr std::uint32_t kSlots = 8;
 constexpr Duration kColdTime = std::chrono::seconds(3);
+constexpr Duration kColdSendInterval = std::chrono::milliseconds(67);  ///< 15 a second.
 constexpr Duration kReportInterval = std::chrono::milliseconds(200);
 constexpr double kUsualFailureRate = 0.005;
 const std::vector<double> kRouteShares{0.62, 0.3, 0.08};
@@ -49,6 +50,7 @@
     const Server& server = servers_[i];
     if (server.of_target != of_target || (canary_only && !server.canary)) continue;
     if (server.in_flight >= kSlots) continue;
+    if (of_target && now_ < kColdTime && now_ < server.next_cold_send) continue;
     if (!best || server.in_flight < servers_[*best].in_flight) best = i;
   }
   return best;
@@ -88,6 +90,7 @@
     ++sender.others_in_flight;
   }
   ++chosen.in_flight;
+  chosen.next_cold_send = now_ + kColdSendInterval;
   const bool failed = Random() < failure_rate;
   responses_.emplace(now_ + Duration(static_cast<std::int64_t>(ms * 1000)),
                      Response{host, *server, route, sender.start, now_, failed});
--- a/tests/rollout/rollout_model.h
+++ b/tests/rollout/rollout_model.h
@@ -88,6 +88,7 @@
     ServerGroup group = ServerGroup::kOther;
     std::uint32_t in_flight = 0;
     bool canary = false;
+    Duration next_cold_send{};  ///< A cold server takes one request in kColdSendInterval.
   };
   struct Response {
     std::size_t host = 0;
