Tests: rollouts with real nodes start the new servers beside the old one

The fixture had five servers of the new version at the start, so that version was rightly in force and five of nine cases failed.

--- a/tests/platform/rollout_test.cc
+++ b/tests/platform/rollout_test.cc
@@ -26,16 +26,16 @@
       // The host of most capacity ranks first.
       if (node->host == HostName("host-1")) node->processor_share = 2;
     };
-    // Enough for both halves of the version's servers.
-    for (const char* id : {"i-3", "i-4", "i-5", "i-6", "i-7"}) {
-      targets.push_back(std::make_unique<FakeBackendServer>(io, id, "s"));
-      store.Put("keyed.servers", id, EntryText("s", Open(*targets.back()), "ready", "v2"));
-    }
   }
   void AddNodes() {
     AddNode();
     AddNode();
     gateway::RunUntil(io, [&] { return IsReady(0) && IsReady(1); });
+    // Started beside the old one, enough for both halves of the version's servers.
+    for (const char* id : {"i-3", "i-4", "i-5", "i-6", "i-7"}) {
+      targets.push_back(std::make_unique<FakeBackendServer>(io, id, "s"));
+      store.Put("keyed.servers", id, EntryText("s", Open(*targets.back()), "ready", "v2"));
+    }
     // Each knows that the other one is alive.
     gateway::RunFor(io, std::chrono::milliseconds(900));
   }
