--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -19,6 +19,7 @@
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
 #include "libgateway/proof_exchange.h"
+#include "libgateway/rollout_controller.h"
 #include "libgateway/server_pool.h"
 #include "libgateway/shutdown_policy.h"
 #include "libgateway/store_client.h"
@@ -61,6 +62,7 @@
   void OnUpdateForPeers(PeerMessage message) override;
 
   void ApplyConfig(Config config, TimePoint now);
+  std::optional<RolloutController> MakeRolloutController();
   HostHeartbeat OwnHeartbeat() const;
   void MeasureRequestRate(TimePoint now);
   HttpResponse HandleReadiness(const HttpMessage& request) const;
@@ -95,6 +97,7 @@
   StoreView store_view_;
   HostList host_list_;
   PeerChannel peer_channel_;
+  std::optional<RolloutController> rollout_;  ///< Set where rollouts are on.
   Forwarder forwarder_;
   ProofExchange proof_exchange_;
   HealthChecker health_checker_;
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -5,6 +5,7 @@
 
 #include "gateway.pb.h"
 #include "libgateway/connection_pool.h"
+#include "libgateway/rollout_codec.h"
 
 namespace mulberry::gateway {
 namespace {
@@ -79,6 +80,12 @@
     answer->set_start(message.proof_answer->start.value());
     answer->set_age_us(static_cast<std::uint64_t>(message.proof_answer->age.count()));
   }
+  if (message.rollout_report) {
+    EncodeRolloutReport(*message.rollout_report, out.mutable_rollout_report());
+  }
+  if (message.rollout_state) {
+    EncodeRolloutState(*message.rollout_state, out.mutable_rollout_state());
+  }
   for (const auto& [server, count] : message.in_flight) {
     wire::InFlight* added = out.add_in_flight();
     added->set_id(server.str());
@@ -125,6 +132,8 @@
     message.proof_answer = {answer.stamp(), StartId(answer.start()),
                             Duration(static_cast<std::int64_t>(answer.age_us()))};
   }
+  if (in.has_rollout_report()) message.rollout_report = DecodeRolloutReport(in.rollout_report());
+  if (in.has_rollout_state()) message.rollout_state = DecodeRolloutState(in.rollout_state());
   if (heartbeat.record.host.empty() || !ParseEndpoint(heartbeat.record.peer_address) ||
       !ParseEndpoint(heartbeat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "datagram without a host name or a valid address");
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -50,6 +50,9 @@
   /// Asks for a ProofAnswerMessage with this stamp.
   std::optional<std::uint64_t> proof_query;
   std::optional<ProofAnswerMessage> proof_answer;
+  /// What the sender tells the coordinator of a rollout, and the coordinator's answer.
+  std::optional<rollout::Report> rollout_report;
+  std::optional<rollout::StateUpdate> rollout_state;
 };
 
 /// Sends and receives UDP datagrams between entry hosts. Each carries the whole current state, so a
