--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -112,6 +112,14 @@
     Refuse(call.exchange, kStatusNotFound, "no_route", call.request_id, kRefusalRetryAfter);
     return false;
   }
+  if (const std::string* key = FindHeader(call.request.headers, "authorization")) {
+    for (const workspace::Workspace& candidate : deps_.config.config().workspaces) {
+      const bool has_key = std::any_of(
+          candidate.keys.begin(), candidate.keys.end(),
+          [&](const std::string& candidate_key) { return *key == "Bearer " + candidate_key; });
+      if (has_key) call.workspace = candidate.name;
+    }
+  }
   call.service = traffic_splitter_.Next(*call.route);
   Duration limit = call.route->timeout;
   if (const std::string* left =
