--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -117,6 +117,8 @@
           },
           [this](StoreEra era) { OnStoreEra(era); }),
       peer_channel_(io, [this](const PeerMessage& message) { OnPeerMessage(message); }),
+      cap_sync_({io, fleet_, peer_channel_, metrics_, settings.host, start, settings.first_start,
+                 [this] { return SenderOnly(); }}),
       rollout_(MakeRolloutController()),
       forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries,
                   rollout_ ? &*rollout_ : nullptr}),
@@ -141,6 +143,10 @@
       exit_timer_(io) {
   forwarder_.SetServer(&caller_server_);
   forwarder_.key_gate().SetLimits(settings.revocation);
+  forwarder_.SetCaps(&cap_sync_);
+  cap_sync_.SetLimits(settings.caps);
+  cap_sync_.SetWaitCallback(
+      [this](CallId call, bool expired) { forwarder_.OnCapWait(call, expired); });
 }
 
 GatewayNode::~GatewayNode() = default;
@@ -212,10 +218,12 @@
   LogEvent(LogLevel::kInfo, "configuration_in_force",
            {{"version", offered.value()}, {"routes", config_.config().routes.size()}});
   pool_.SetServices(config_.config().services);
+  cap_sync_.SetWorkspaces(config_.config().workspaces);
   caller_server_.SetLimits(config_.config().limits);
   forwarder_.key_gate().proof().OnVersion(workspace::DirectoryVersion(offered.value()));
   forwarder_.OnKeysChanged(now);
   UpdateFleetState(now);
+  cap_sync_.UpdateRoles(host_list_.complete());
   forwarder_.DispatchQueued();
 }
 
@@ -286,6 +294,7 @@
 }
 
 void GatewayNode::OnPeerMessage(const PeerMessage& message) {
+  if (cap_sync_.OnPeerMessage(message)) return;
   const TimePoint now = MonotonicClock::now();
   if (!fleet_.OnHeartbeat(message.heartbeat, now)) return;
   OnStoreEra(NewestEra(message));
@@ -322,6 +331,16 @@
   peer_channel_.Send(answer, {receiver.record.peer_address});
 }
 
+HostHeartbeat GatewayNode::SenderOnly() const {
+  HostHeartbeat sender;
+  sender.record.host = settings_.host;
+  sender.record.data_centre = settings_.data_centre;
+  sender.record.peer_address = settings_.ip + ":" + std::to_string(settings_.peer_port);
+  sender.start = start_;
+  sender.caller_address = settings_.callers;
+  return sender;
+}
+
 HostHeartbeat GatewayNode::OwnHeartbeat() const {
   HostHeartbeat heartbeat;
   heartbeat.record = MakeHostRecord(settings_);
@@ -427,6 +446,7 @@
   const TimePoint now = MonotonicClock::now();
   MeasureRequestRate(now);
   UpdateFleetState(now);
+  cap_sync_.UpdateRoles(host_list_.complete());
   store_view_.Tick(fleet_.IsStoreReader(now), fleet_.IsStoreUnreachable(now), now);
   proof_exchange_.Tick(now);
   CheckReady();
@@ -492,6 +512,8 @@
   settings_.cold_slack = settings.cold_slack;
   if (rollout_ && settings.rollout) rollout_->SetLimits(*settings.rollout);
   pool_.SetColdLimit(settings.cold_overage, settings.cold_slack);
+  settings_.caps = settings.caps;
+  cap_sync_.SetLimits(settings.caps);
   forwarder_.SetRetryLimits(settings.retries);
   settings_.revocation = settings.revocation;
   forwarder_.key_gate().SetLimits(settings.revocation);
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -9,6 +9,7 @@
 
 #include "libgateway/active_config.h"
 #include "libgateway/caller_server.h"
+#include "libgateway/cap_sync.h"
 #include "libgateway/fleet_view.h"
 #include "libgateway/forwarder.h"
 #include "libgateway/gateway_metrics.h"
@@ -64,6 +65,8 @@
   void ApplyConfig(Config config, TimePoint now);
   std::optional<RolloutController> MakeRolloutController();
   HostHeartbeat OwnHeartbeat() const;
+  /// Names this host as the sender of a datagram that is no heartbeat.
+  HostHeartbeat SenderOnly() const;
   void MeasureRequestRate(TimePoint now);
   HttpResponse HandleReadiness(const HttpMessage& request) const;
   HttpResponse HandleAddressQuery(const HttpMessage& request) const;
@@ -98,6 +101,7 @@
   HostList host_list_;
   PeerChannel peer_channel_;
   std::optional<RolloutController> rollout_;  ///< Set where rollouts are on.
+  CapSync cap_sync_;
   Forwarder forwarder_;
   ProofExchange proof_exchange_;
   HealthChecker health_checker_;
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -15,6 +15,7 @@
 #include "libgateway/platform_adapter.h"
 #include "libgateway/topic_update.h"
 #include "libgateway/types.h"
+#include "libworkspace/workspace.h"
 
 namespace mulberry::gateway {
 
@@ -53,6 +54,9 @@
   /// What the sender tells the coordinator of a rollout, and the coordinator's answer.
   std::optional<rollout::Report> rollout_report;
   std::optional<rollout::StateUpdate> rollout_state;
+  /// Tokens of workspaces with a rate limit. A message with a query or a grant is no heartbeat.
+  std::optional<workspace::TokenQuery> token_query;
+  std::optional<workspace::TokenGrant> token_grant;
 };
 
 /// Sends and receives UDP datagrams between entry hosts. Each carries the whole current state, so a
