Spillover to other data centres by waits, costs and spare capacity

Cause: the fixed rule (15 ms, half of the slots) sends requests away without regard to the price of the bytes or to how many other senders see the same free servers, and exchanges requests between data centres that both have room.

Change: with [placement] spill = true, SpillPolicy decides per service and data centre when leaving pays (with hysteresis) and divides the spare capacity there among all senders. data_centre_delay_us and price_ms_per_mib are new settings; mulberry_spilled_total, spill_started and spill_stopped tell what it does. Deployments without the setting keep their rule.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -34,6 +34,9 @@
 /// requests, take about this long.
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(200);
 
+/// Weight of a new sample in the mean bytes of a route.
+constexpr double kBytesSmoothing = 1.0 / 16;
+
 /// Bytes of an unusable header that are logged.
 constexpr std::size_t kMaxLoggedHeader = 64;
 
@@ -170,7 +173,9 @@
     return;
   }
   const auto choice =
-      deps_.pool.Select({call.service, call.tried, call.state.idempotent, hedge}, now);
+      deps_.pool.Select({call.service, call.tried, call.state.idempotent, hedge,
+                         queues_[call.service].size(), route_bytes_[call.route->name]},
+                        now);
   if (const auto* chosen = std::get_if<Selection>(&choice)) {
     if (hedge && !retry_budgets_.at(call.service).TryConsume(true, now)) return;
     Dequeue(call);
@@ -252,6 +257,7 @@
   }
   Attempt attempt{AttemptId(next_attempt_++), choice.id, choice.address,
                   deps_.pool.OnSent(choice.id, now), link.value()};
+  if (*choice.spill_reason != '\0') deps_.metrics.OnSpill(call.service, choice.spill_reason);
   ++call.state.attempts;
   ++call.state.running;
   call.tried.insert(choice.id);
@@ -412,6 +418,9 @@
     FailCall(call, FailureCause::kOther, "server_status", Duration::zero(), now);
     return;
   }
+  double& mean_bytes = route_bytes_[call.route->name];
+  mean_bytes +=
+      kBytesSmoothing * (static_cast<double>(call.body->size() + message.body.size()) - mean_bytes);
   deps_.metrics.OnResponse(call.service, message.status, now - call.arrived);
   LogEvent(LogLevel::kInfo, "answered",
            {{"request", call.request_id},
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -142,6 +142,8 @@
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   std::unordered_map<ExchangeId, CallId> calls_by_exchange_;
   std::map<ServiceName, CallQueue> queues_;
+  /// Mean bytes of a request and its response by route, for the price of leaving the data centre.
+  std::map<std::string, double> route_bytes_;
   std::minstd_rand random_{std::random_device{}()};
   CallTimers timers_;
   std::uint64_t next_call_ = 1;
--- a/src/libgateway/gateway_metrics.cc
+++ b/src/libgateway/gateway_metrics.cc
@@ -45,6 +45,13 @@
       .Add();
 }
 
+void GatewayMetrics::OnSpill(const ServiceName& service, std::string_view reason) {
+  metrics_
+      .CounterFor("mulberry_spilled_total", "Requests sent to another data centre",
+                  {{"service", service.str()}, {"reason", std::string(reason)}})
+      .Add();
+}
+
 void GatewayMetrics::OnCallerDisconnected() {
   metrics_.CounterFor("mulberry_callers_gone_total", "Requests whose caller left").Add();
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -17,6 +17,7 @@
   void OnAttempt(std::string_view end, Duration took);
   void OnRetry(std::string_view reason);
   void OnHealthCheck(std::string_view end);
+  void OnSpill(const ServiceName& service, std::string_view reason);
   void OnCallerDisconnected();
   void OnQueueWait(Duration waited);
   void SetGauge(const std::string& name, const std::string& help, double value);
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -82,6 +82,8 @@
   options.random_seed = start.value();
   options.cold_overage = settings.cold_overage;
   options.cold_slack = settings.cold_slack;
+  options.spill = settings.spill;
+  options.spill_costs = settings.spill_costs;
   return options;
 }
 
--- a/src/libgateway/gateway_settings.cc
+++ b/src/libgateway/gateway_settings.cc
@@ -74,6 +74,13 @@
        DecimalParser(0, 10, "fraction of a cap", &s->caps.overage)},
       {"workspaces", "cap_slack", false, CountParser(0, 1'000'000, "requests", &s->caps.slack)},
       {"placement", "spill", false, BooleanParser(&s->spill)},
+      {"placement", "data_centre_delay_us", false,
+       IntegerParser(0, 1'000'000, "microseconds",
+                     [s](std::uint64_t value) {
+                       s->spill_costs.one_way = std::chrono::microseconds(value);
+                     })},
+      {"placement", "price_ms_per_mib", false,
+       DecimalParser(0, 1e6, "milliseconds per MiB", &s->spill_costs.price_ms_per_mib)},
       {"log", "level", false, LogLevelParser(&s->log_level)},
   };
 }
--- a/src/libgateway/gateway_settings.h
+++ b/src/libgateway/gateway_settings.h
@@ -6,6 +6,7 @@
 
 #include "libbase/base.h"
 #include "libgateway/retry_budget.h"
+#include "libplacement/placement.h"
 #include "librollout/rollout.h"
 #include "libworkspace/workspace.h"
 
@@ -55,6 +56,7 @@
   // [placement]
   /// Decide by load and cost how many requests go to other data centres.
   bool spill = false;
+  placement::SpillSettings spill_costs = {};
   // [log]
   std::string log_level = "info";
 };
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -31,6 +31,8 @@
 /// requests are spread. Estimates of equal servers differ by about as much.
 constexpr double kSpreadFraction = 0.2;
 constexpr Duration kMaxSpread = std::chrono::milliseconds(20);
+/// Fraction of its slots up to which a server of another data centre gets requests by SpillPolicy.
+constexpr double kSpillLoadFraction = 0.8;
 /// Minimum interval of log lines about requests to ejected servers.
 constexpr Duration kLastResortLogInterval = std::chrono::seconds(1);
 /// A trial is left to idempotent requests for this long, since it may cost the request. A service
@@ -157,8 +159,9 @@
   Duration best_expected = Duration::max();
   NoServerReason reason = NoServerReason::kNoServer;
   std::uint32_t equal_candidates = 0;
-  const bool spread = state.capacity.Hangs();
+  const bool spread = state.capacity.Hangs() || options_.spill;
   std::vector<Candidate> candidates;
+  std::map<DataCentreName, RemoteSide> sides;
   for (const ServerName& id : by_service_[request.service]) {
     Server& server = servers_.at(id);
     if (request.tried.count(id) != 0 || !IsUsable(server, now)) continue;
@@ -170,9 +173,14 @@
     if (in_trial && !request.idempotent && now < server.health.TrialTime() + kIdempotentTrialTime) {
       continue;
     }
-    const bool low_load_only = request.hedge || server.entry.data_centre != options_.data_centre;
-    const double limit = low_load_only ? MaxSlots(server, options_.spare_load_fraction)
-                                       : ConcurrencyLimit(server, state);
+    const bool remote = server.entry.data_centre != options_.data_centre;
+    RemoteSide* side = options_.spill && remote ? &sides[server.entry.data_centre] : nullptr;
+    if (side != nullptr) AddToSide(*side, server, now);
+    const bool has_news = now - server.report_time <= kLoadReportLifetime;
+    const bool low_load_only = request.hedge || (remote && (side == nullptr || !has_news));
+    const double limit = side != nullptr && !low_load_only ? MaxSlots(server, kSpillLoadFraction)
+                         : low_load_only ? MaxSlots(server, options_.spare_load_fraction)
+                                         : ConcurrencyLimit(server, state);
     const double load = LoadOf(server, now);
     if (load >= limit || !HasRoomBeforeHang(server, state, now)) {
       reason = NoServerReason::kAllBusy;
@@ -183,6 +191,11 @@
       continue;
     }
     const Duration expected = ExpectedLatency(server, state, now);
+    if (side != nullptr) {
+      side->candidates.push_back({&server, expected, limit - load});
+      side->expected = std::min(side->expected, expected);
+      continue;
+    }
     if (spread) candidates.push_back({&server, expected, limit - load});
     // Servers whose expected latency differs by less than 1 ms count as equal; one of them is
     // picked at random.
@@ -194,14 +207,28 @@
     best = &server;
     best_expected = expected;
   }
+  const Duration here =
+      sides.empty() ? Duration::zero() : ExpectedHere(request, state, best_expected, now);
+  const Candidate* spilled = SpillTarget(request, here, sides, now);
+  const char* spill_reason = "";
+  if (spilled != nullptr) {
+    spill_reason = here == Duration::max() ? "no_local_server"
+                   : best == nullptr       ? "busy"
+                                           : "slower";
+  } else if (candidates.size() > 1) {
+    spilled = &SpreadAmong(candidates, best_expected);
+  }
+  if (spilled != nullptr) {
+    best = spilled->server;
+    best_expected = spilled->expected;
+  }
+  const bool may_spill = std::any_of(
+      sides.begin(), sides.end(), [](const auto& side) { return !side.second.candidates.empty(); });
+  if (best == nullptr && may_spill) return NoServerReason::kAllBusy;
   if (best == nullptr && reason == NoServerReason::kNoServer) best = LastResort(request, now);
   if (best == nullptr) return reason;
-  if (candidates.size() > 1) {
-    const Candidate& chosen = SpreadAmong(candidates, best_expected);
-    best = chosen.server;
-    best_expected = chosen.expected;
-  }
   Selection choice;
+  choice.spill_reason = spill_reason;
   choice.id = best->entry.id;
   choice.address = best->entry.address;
   choice.expected = best_expected;
@@ -212,6 +239,63 @@
   return choice;
 }
 
+void ServerPool::AddToSide(RemoteSide& side, const Server& server, TimePoint now) const {
+  side.in_flight += server.in_flight;
+  side.news = std::max(side.news, server.report_time);
+  if (now < server.cold_until || now - server.report_time > kLoadReportLifetime) return;
+  side.spare += server.entry.slots * kSpillLoadFraction - LoadOf(server, now);
+}
+
+Duration ServerPool::ExpectedHere(const SelectionRequest& request, const ServiceState& state,
+                                  Duration best_expected, TimePoint now) const {
+  if (best_expected != Duration::max()) return best_expected;
+  std::uint32_t slots = 0;
+  for (const ServerName& id : by_service_.at(request.service)) {
+    const Server& server = servers_.at(id);
+    const bool usable = server.entry.data_centre == options_.data_centre &&
+                        request.tried.count(id) == 0 && now >= server.paused_until &&
+                        IsUsable(server, now);
+    if (usable) slots += server.entry.slots;
+  }
+  if (slots == 0) return Duration::max();
+  // Each host of the data centre fills its part of the slots from its own queue.
+  const double own_slots = std::max(1.0, static_cast<double>(slots) / senders_.local_hosts);
+  const Duration usual = UsualTime(state);
+  const double waits = (static_cast<double>(request.queued) + 1) / own_slots;
+  return usual + Duration(std::llround(static_cast<double>(usual.count()) * waits));
+}
+
+const ServerPool::Candidate* ServerPool::SpillTarget(
+    const SelectionRequest& request, Duration here,
+    const std::map<DataCentreName, RemoteSide>& sides, TimePoint now) {
+  const RemoteSide* best = nullptr;
+  for (const auto& [name, side] : sides) {
+    if (side.candidates.empty()) continue;
+    const double phase = std::uniform_real_distribution<double>(0, 1)(random_);
+    placement::SpillPolicy& policy = ServiceStateOf(request.service)
+                                         .spill.try_emplace(name, options_.spill_costs, phase)
+                                         .first->second;
+    const bool was_active = policy.active();
+    const std::uint32_t senders = std::max(senders_.all_hosts, 2U) - 1;
+    // Without news, any server of another data centre is better than none.
+    const bool blind = here == Duration::max() && now - side.news > kLoadReportLifetime;
+    const bool allowed = policy.Allows(
+        {here, side.expected, side.spare, now - side.news, senders, side.in_flight, request.bytes},
+        now);
+    if (policy.active() != was_active) {
+      LogEvent(LogLevel::kInfo, policy.active() ? "spill_started" : "spill_stopped",
+               {{"service", request.service.str()},
+                {"data_centre", name.str()},
+                {"here_ms", here == Duration::max() ? -1 : ToMilliseconds(here)},
+                {"there_ms", ToMilliseconds(side.expected)},
+                {"spare", side.spare},
+                {"news_age_ms", ToMilliseconds(now - side.news)}});
+    }
+    if ((allowed || blind) && (best == nullptr || side.expected < best->expected)) best = &side;
+  }
+  return best == nullptr ? nullptr : &SpreadAmong(best->candidates, best->expected);
+}
+
 /// Picks one of the candidates that are nearly as good as the best one, at random in proportion to
 /// their room: hosts that know the same would otherwise all choose the same server.
 const ServerPool::Candidate& ServerPool::SpreadAmong(const std::vector<Candidate>& candidates,
@@ -676,7 +760,9 @@
   // A small term prefers the less loaded of two servers of the same speed.
   const double spread = usual_time * 0.1 * load / slots;
   Duration expected(static_cast<std::int64_t>(work + spread));
-  if (server.entry.data_centre != options_.data_centre) expected += options_.remote_penalty;
+  if (server.entry.data_centre != options_.data_centre && !options_.spill) {
+    expected += options_.remote_penalty;
+  }
   if (now < server.avoided_until) expected += kAvoidPenalty;
   return expected;
 }
--- a/src/libgateway/server_pool.h
+++ b/src/libgateway/server_pool.h
@@ -39,6 +39,10 @@
   /// Load, as a fraction of the slots, below which a server accepts a hedge or requests from
   /// another data centre: hosts there learn its load late, and many of them may choose it at once.
   double spare_load_fraction = 0.5;
+  /// Decide by SpillPolicy, not by remote_penalty and spare_load_fraction, when requests go to
+  /// other data centres.
+  bool spill = false;
+  placement::SpillSettings spill_costs = {};
   /// False: servers that hang when full are not told apart (comparison only).
   bool learn_hangs = true;
   std::uint64_t random_seed = 1;
@@ -53,6 +57,10 @@
   bool idempotent = false;
   /// A second attempt for a slow request; it goes only to a server with a low load.
   bool hedge = false;
+  /// Requests for the service that wait at this host; for SpillPolicy, as is the next one.
+  std::size_t queued = 0;
+  /// Expected bytes of the request and its answer.
+  double bytes = 0;
 };
 
 /// The selected server.
@@ -65,6 +73,8 @@
   double slowness = 1;
   Duration report_age{};
   bool cold = false;
+  /// Why SpillPolicy sends the request to another data centre; empty if it does not.
+  const char* spill_reason = "";
 };
 
 /// State of an attempt that is kept from its start to its end.
@@ -230,6 +240,7 @@
     double mean_slowness = 1;
     SaturationEstimate saturation;
     placement::CapacityEstimate capacity;
+    std::map<DataCentreName, placement::SpillPolicy> spill;
     std::uint32_t choices = 0;
     TimePoint last_requested;  ///< Time of the last Select for the service.
   };
@@ -241,6 +252,22 @@
     double room = 0;  ///< Requests that it may still get.
   };
 
+  /// The servers of another data centre that SpillPolicy may use.
+  struct RemoteSide {
+    std::vector<Candidate> candidates;
+    Duration expected = Duration::max();  ///< Lowest of the candidates.
+    double spare = 0;
+    std::uint32_t in_flight = 0;
+    TimePoint news;  ///< Time of the newest load report.
+  };
+
+  void AddToSide(RemoteSide& side, const Server& server, TimePoint now) const;
+  /// Expected time until an answer of this data centre when `best` is its best server with room.
+  Duration ExpectedHere(const SelectionRequest& request, const ServiceState& state,
+                        Duration best_expected, TimePoint now) const;
+  /// Returns the server of another data centre that the request should go to, or nullptr.
+  const Candidate* SpillTarget(const SelectionRequest& request, Duration here,
+                               const std::map<DataCentreName, RemoteSide>& sides, TimePoint now);
   const Candidate& SpreadAmong(const std::vector<Candidate>& candidates, Duration best_expected);
   bool IsUsable(const Server& server, TimePoint now) const;
   void Eject(Server& server, const char* why, TimePoint now);
--- a/tests/gateway/placement_model.cc
+++ b/tests/gateway/placement_model.cc
@@ -144,7 +144,8 @@
 /// Sends a call that is not idempotent, so that it has a single attempt.
 bool PlacementModel::Dispatch(Host& host, CallId call, TimePoint arrived) {
   (void)call;
-  const auto choice = host.pool->Select({search_service, {}, false, false}, now_);
+  const auto choice =
+      host.pool->Select({search_service, {}, false, false, host.queue.size(), 20e3}, now_);
   const auto* chosen = std::get_if<Selection>(&choice);
   if (chosen == nullptr) return false;
   const ServerName id = chosen->id;
@@ -224,7 +225,7 @@
   }
   for (Host& receiver : hosts_) {
     if ((receiver.data_centre != sender.data_centre) != remote || &receiver == &sender) continue;
-    if (unit_(random_) < options_.news_loss) continue;
+    if (unit_(random_) < options_.news_loss || (remote && options_.cut_off)) continue;
     // The receiver does not know the delay of the message, only the report's age when it was sent.
     At(now_ + options_.news_delay, [this, &receiver, &sender, reports, counts, sent = now_] {
       for (const auto& [id, report] : reports) {
--- a/tests/gateway/placement_model.h
+++ b/tests/gateway/placement_model.h
@@ -25,6 +25,7 @@
   /// True: a server with a full queue never answers a request; false: it refuses.
   bool hang = true;
   Duration news_delay = std::chrono::milliseconds(1);
+  bool cut_off = false;  ///< No messages between data centres arrive.
   double news_loss = 0;  ///< Probability that a message between hosts is lost.
   std::uint64_t seed = 1;
 };
--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <numeric>
+
 #include "placement_model.h"
 
 namespace mulberry::gateway {
@@ -69,5 +71,59 @@
   CHECK(with.remote == without.remote);
 }
 
+/// Runs with the fixed rule and with spillover.
+std::pair<PlacementResult, PlacementResult> Compare(PlacementOptions options) {
+  const PlacementResult fixed = RunSeeds(options);
+  options.pool.spill = true;
+  return {fixed, RunSeeds(options)};
+}
+
+TEST_CASE("spillover serves an uneven demand, and less of it leaves than by the fixed rule") {
+  for (const bool hang : {false, true}) {
+    for (const auto delay : {milliseconds(1), milliseconds(300)}) {
+      CAPTURE(hang);
+      CAPTURE(delay.count());
+      PlacementOptions options;
+      // Servers that hang matter when all are busy.
+      options.rates = hang ? std::vector<double>{260, 120, 120} : std::vector<double>{170, 40, 40};
+      options.hosts = hang ? 4 : 2;
+      options.hang = hang;
+      options.news_delay = delay;
+      const auto [fixed, spill] = Compare(options);
+      CHECK(spill.InTarget() > fixed.InTarget() - 0.02);
+      CHECK(spill.lost <= fixed.lost + 5);
+      const auto sent_by = [&spill](std::size_t centre) {
+        const std::vector<int>& sent = spill.remote_by_time[centre];
+        return std::accumulate(sent.begin(), sent.end(), 0);
+      };
+      CHECK(sent_by(0) > 0);
+      // Where all are busy most of the time, each sends some, but less than by the fixed rule.
+      if (!hang) CHECK(sent_by(1) + sent_by(2) < sent_by(0) / 20);
+      if (hang) CHECK(spill.remote < fixed.remote);
+    }
+  }
+}
+
+TEST_CASE("data centres that have room exchange nearly nothing, and traffic does not oscillate") {
+  PlacementOptions options;
+  options.rates = {60, 60};
+  const auto [fixed, spill] = Compare(options);
+  CHECK(spill.InTarget() > fixed.InTarget() - 0.01);
+  CHECK(spill.remote < spill.requested / 100);
+}
+
+TEST_CASE("without news of other data centres, answers tell whether they have room") {
+  for (const double other_rate : {40.0, 170.0}) {
+    CAPTURE(other_rate);
+    PlacementOptions options;
+    options.rates = {170, other_rate};
+    options.cut_off = true;
+    const auto [fixed, spill] = Compare(options);
+    CHECK(spill.InTarget() > fixed.InTarget() - 0.02);
+    CHECK(spill.lost <= fixed.lost);
+    if (other_rate > 100) CHECK(spill.remote < fixed.remote);
+  }
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
