--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -92,8 +92,8 @@
       const auto [fixed, spill] = Compare(options);
       CHECK(spill.InTarget() > fixed.InTarget() - 0.02);
       CHECK(spill.lost <= fixed.lost + 5);
-      const auto sent_by = [&spill](std::size_t centre) {
-        const std::vector<int>& sent = spill.remote_by_time[centre];
+      const auto sent_by = [&by_time = spill.remote_by_time](std::size_t centre) {
+        const std::vector<int>& sent = by_time[centre];
         return std::accumulate(sent.begin(), sent.end(), 0);
       };
       CHECK(sent_by(0) > 0);
