--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -33,6 +33,9 @@
 /// requests, take about this long.
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(200);
 
+/// Weight of a new sample in the mean bytes of a route.
+constexpr double kBytesSmoothing = 1.0 / 16;
+
 /// Bytes of an unusable header that are logged.
 constexpr std::size_t kMaxLoggedHeader = 64;
 
@@ -268,7 +271,9 @@
     return;
   }
   if (!CheckCap(call, hedge, now)) return;
-  const SelectionRequest request{call.service, call.tried, call.state.idempotent, hedge};
+  SelectionRequest request{call.service, call.tried, call.state.idempotent, hedge};
+  request.queued = queues_[call.service].size();
+  request.bytes = route_bytes_[call.route->name];
   const auto choice =
       deps_.rollout == nullptr
           ? deps_.pool.Select(request, now)
@@ -417,6 +422,7 @@
   if (deps_.rollout != nullptr) {
     deps_.rollout->OnSent(call.service, call.route->name, attempt.context);
   }
+  if (*choice.spill_reason != '\0') deps_.metrics.OnSpill(call.service, choice.spill_reason);
   ++call.state.attempts;
   ++call.state.running;
   call.tried.insert(choice.id);
@@ -584,6 +590,9 @@
     FailCall(call, FailureCause::kOther, "server_status", Duration::zero(), now);
     return;
   }
+  double& mean_bytes = route_bytes_[call.route->name];
+  mean_bytes +=
+      kBytesSmoothing * (static_cast<double>(call.body->size() + message.body.size()) - mean_bytes);
   deps_.metrics.OnResponse(call.service, message.status, now - call.arrived);
   LogEvent(LogLevel::kInfo, "answered",
            {{"request", call.request_id},
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -26,6 +26,7 @@
   void OnCapTokens(std::string_view direction, std::uint64_t count);
   /// Datagrams about tokens that this host sent.
   void OnCapDatagram();
+  void OnSpill(const ServiceName& service, std::string_view reason);
   void OnCallerDisconnected();
   void OnQueueWait(Duration waited);
   void SetGauge(const std::string& name, const std::string& help, double value);
