--- a/src/libgateway/proof_exchange.cc
+++ b/src/libgateway/proof_exchange.cc
@@ -18,7 +18,7 @@
 /// The store is read for hosts that ask when the proof here is older. With kAskInterval, proofs
 /// stay younger than 2 s.
 constexpr Duration kReadAge = std::chrono::milliseconds(800);
-/// From this age on, more than one host is asked.
+/// From this age on, more than one host is asked if the last question gave no young proof.
 constexpr Duration kOldAge = std::chrono::seconds(2);
 constexpr std::size_t kTargetsWhenOld = 3;
 /// A read for other hosts that takes longer is of no use to their requests.
@@ -53,29 +53,28 @@
 
 /// The hosts most likely to have a younger proof: those that reach the store, by rank, so that most
 /// questions go to one host.
-std::vector<std::string> ProofExchange::Targets(TimePoint now) {
+std::vector<std::string> ProofExchange::Targets(bool asks_more, TimePoint now) {
   const ProofSources sources = deps_.fleet.FindProofSources(now);
-  const bool is_old = deps_.gate.proof().Age(now) > kOldAge;
-  if (sources.self_is_first && !is_old) return {};
+  if (sources.self_is_first && !asks_more) return {};
   std::vector<std::string> targets = sources.peers;
-  const std::size_t wanted = is_old ? kTargetsWhenOld : 1;
+  const std::size_t wanted = asks_more ? kTargetsWhenOld : 1;
   if (targets.size() <= wanted) return targets;
   // One more, in case all of the first ones are cut off from this host or from the store.
-  if (is_old) {
+  if (asks_more) {
     std::uniform_int_distribution<std::size_t> index(wanted, targets.size() - 1);
     std::swap(targets[wanted], targets[index(random_)]);
   }
-  targets.resize(is_old ? wanted + 1 : wanted);
+  targets.resize(asks_more ? wanted + 1 : wanted);
   return targets;
 }
 
 void ProofExchange::SendQuery(TimePoint now) {
+  // After a time without requests the proof is old, but the first in rank has a young one or reads.
+  const bool asks_more = !answered_ && deps_.gate.proof().Age(now) > kOldAge;
   asked_at_ = now;
   answered_ = false;
-  const bool is_first = deps_.fleet.FindProofSources(now).self_is_first;
-  const bool is_old = deps_.gate.proof().Age(now) > kOldAge;
-  if (is_first || is_old) ReadStore(now);
-  const std::vector<std::string> targets = Targets(now);
+  if (asks_more || deps_.fleet.FindProofSources(now).self_is_first) ReadStore(now);
+  const std::vector<std::string> targets = Targets(asks_more, now);
   if (targets.empty()) return;
   PeerMessage message;
   message.heartbeat = deps_.own_heartbeat();
--- a/src/libgateway/proof_exchange.h
+++ b/src/libgateway/proof_exchange.h
@@ -48,7 +48,7 @@
   /// Reads the operators' topic unless the read would prove nothing.
   void ReadStore(TimePoint now);
   void SendAnswer(const std::string& address, StartId start, std::uint64_t stamp, TimePoint now);
-  std::vector<std::string> Targets(TimePoint now);
+  std::vector<std::string> Targets(bool asks_more, TimePoint now);
 
   /// A host that waits for the answer of a read that is running.
   struct Waiting {
--- a/tests/gateway/workspace_keys_test.cc
+++ b/tests/gateway/workspace_keys_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <tuple>
@@ -279,6 +280,39 @@
   CHECK(waiting->received.find("Retry-After: ") != std::string::npos);
 }
 
+// Guards against a queue in which the route alone decides.
+TEST_CASE_FIXTURE(QueueFixture, "the priority of the workspace precedes that of the route") {
+  Config next = FirstConfig();
+  next.version = ConfigVersion(3);
+  for (const auto& [name, key, priority] :
+       {std::tuple("acme", "k1", 4), std::tuple("urgent", "k9", 0)}) {
+    next.workspaces.push_back(MakeWorkspace(name, {key}));
+    next.workspaces.back().priority = priority;
+  }
+  for (Route& route : next.routes) route.priority = 2;
+  REQUIRE(config.Update(std::move(next)));
+  waiting->Close();
+  RunFor(io, milliseconds(10));
+  // Neither has the route's own priority, and the later one comes first.
+  for (const char* key : {"k1", "k9"}) {
+    callers.push_back(std::make_unique<TestCaller>(io));
+    callers.back()->Connect(port);
+    callers.back()->Write(std::string("POST /write/last-") + key +
+                          " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " + key +
+                          "\r\nContent-Length: 0\r\n\r\n");
+    RunFor(io, milliseconds(5));
+  }
+  const auto was_sent = [&](const std::string& path) {
+    return std::any_of(first.connections.begin(), first.connections.end(),
+                       [&](const auto& connection) {
+                         return connection->received.find(path) != std::string::npos;
+                       });
+  };
+  FreeServer();
+  CHECK_FALSE(was_sent("/write/last-k1"));
+  CHECK(was_sent("/write/last-k9"));
+}
+
 // Guards against a further send under a key that was taken away after the first one.
 TEST_CASE_FIXTURE(KeyFixture, "there is no retry and no hedge under a key that was taken away") {
   std::string status = "HTTP/1.1 503 ";
--- a/tests/platform/node_fixture.h
+++ b/tests/platform/node_fixture.h
@@ -71,6 +71,7 @@
     node_settings.first_start = true;
     node_settings.leaving_bound = std::chrono::milliseconds(800);
     node_settings.grace = std::chrono::seconds(4);
+    node_settings.revocation = revocation;
     settings.push_back(node_settings);
     nodes.push_back(std::make_unique<gateway::GatewayNode>(io, node_settings, *adapter,
                                                            StartId(nodes.size() + 1)));
@@ -103,6 +104,8 @@
   FakeBackendServer server_one;
   FakeBackendServer server_two;
   std::string store_address;
+  /// For nodes that are added from now on.
+  workspace::RevocationLimits revocation;
   std::vector<gateway::GatewaySettings> settings;
   std::vector<std::unique_ptr<gateway::GatewayNode>> nodes;
   int requests_sent = 0;
