--- a/tests/platform/node_fixture.h
+++ b/tests/platform/node_fixture.h
@@ -75,6 +75,7 @@
     node_settings.grace = std::chrono::seconds(4);
     if (change_settings) change_settings(&node_settings);
     node_settings.caps = caps;
+    node_settings.revocation = revocation;
     settings.push_back(node_settings);
     nodes.push_back(std::make_unique<gateway::GatewayNode>(io, node_settings, *adapter,
                                                            StartId(nodes.size() + 1)));
@@ -110,6 +111,8 @@
   /// Called with the settings of each node before it starts.
   std::function<void(gateway::GatewaySettings*)> change_settings;
   workspace::CapLimits caps;  ///< Of the nodes that are added from now on.
+  /// For nodes that are added from now on.
+  workspace::RevocationLimits revocation;
   std::vector<gateway::GatewaySettings> settings;
   std::vector<std::unique_ptr<gateway::GatewayNode>> nodes;
   int requests_sent = 0;
