Tests of rate limits: lenders as all hosts see them, and a host that is cut off

Nothing tested yet that all hosts derive the same lenders, or that a host which may have an outdated cap stops using its buckets while one whose store is merely down goes on. Three test cases; all pass (test_gateway, test_workspace).

--- a/tests/gateway/fleet_view_test.cc
+++ b/tests/gateway/fleet_view_test.cc
@@ -243,5 +243,42 @@
   CHECK(readers["small"] == 2);
 }
 
+/// Guards against hosts that ask, or take themselves for, different lenders of tokens.
+TEST_CASE_FIXTURE(Fixture, "all hosts agree who ranks first in each data centre, alive or not") {
+  const auto names = [](const FleetView& view) {
+    std::map<DataCentreName, HostName> first;
+    for (const HostRecord& record : view.FirstInRank()) first[record.data_centre] = record.host;
+    return first;
+  };
+  now += seconds(10);
+  const auto expected = names(views[0]);
+  CHECK(expected.size() == 3);
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    CHECK(names(views[i]) == expected);
+    CHECK(views[i].FirstInRank()[0].data_centre == records[i].data_centre);
+    CHECK(views[i].DefaultAdvertisedCount() == 6);
+  }
+}
+
+/// Guards against a host that enforces an outdated cap while it is cut off, and against one that
+/// refuses requests because the store is down for all.
+TEST_CASE_FIXTURE(Fixture, "a host knows whether its configuration may be outdated") {
+  FleetView& view = views[0];
+  CHECK(view.HasRecentContact(now));
+  view.SetOwnState(true, false, false);
+  // Another host reaches the store.
+  CHECK(view.HasRecentContact(now));
+  bool hears_others = true;
+  SUBCASE("the store is down for all") {}
+  SUBCASE("the host is cut off") { hears_others = false; }
+  now += seconds(10);
+  for (std::size_t i = 1; i < records.size() && hears_others; ++i) {
+    HostHeartbeat heartbeat = Heartbeat(records[i]);
+    heartbeat.store_reachable = false;
+    view.OnHeartbeat(heartbeat, now);
+  }
+  CHECK(view.HasRecentContact(now) == hears_others);
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
--- a/tests/workspace/token_lender_test.cc
+++ b/tests/workspace/token_lender_test.cc
@@ -123,6 +123,28 @@
   }
 }
 
+/// Guards against an outdated cap that a host which is cut off goes on using.
+TEST_CASE("a suspended host uses and lends none of its own tokens, and then has them again") {
+  CapLimiter limiter(StartId(1));
+  const CapTime time{kStart, kStart};
+  limiter.SetLimits({seconds(5), 0.1, 20}, time);
+  limiter.SetRoles({{lender, HostName("h2")}, 0, 4, true}, true, time);
+  Workspace workspace;
+  workspace.name = name;
+  workspace.rate_per_s = 100;
+  workspace.burst = 10;
+  limiter.SetWorkspaces({workspace}, time);
+  limiter.SetSuspended(true);
+  // The other lender may know the configuration in force.
+  CHECK(limiter.Decide(name, time).step == CapDecision::Step::kWait);
+  CHECK_FALSE(limiter.Take(name, time));
+  CHECK_FALSE(limiter.OnQuery(asker, StartId(2), Ask(1, 1), time));
+  limiter.SetSuspended(false);
+  CHECK(limiter.Decide(name, time).step == CapDecision::Step::kSend);
+  CHECK(limiter.Take(name, time));
+  CHECK(limiter.OnQuery(asker, StartId(2), Ask(2, 1), time)->parts[0].tokens == 1);
+}
+
 /// Guards against a division of caps that exceeds the limit, also with many data centres and odd
 /// settings.
 TEST_CASE("the parts of a cap add up to less than the limit") {
