Admission: the call queue and its wait rules become libadmission

The decisions under load were files of the gateway's library, so that code for workspaces could only be added and tested together with connections and timers. They move unchanged to a pure library with one public header: call_queue, wait_policy (formerly admission) and dispatch_rate. The queue has a call id type of its own.

--- a/src/libgateway/call_queue.cc
+++ b/src/libadmission/call_queue.cc
@@ -1,8 +1,8 @@
-#include "libgateway/call_queue.h"
+#include "libadmission/call_queue.h"
 
 #include <algorithm>
 
-namespace mulberry::gateway {
+namespace mulberry::admission {
 namespace {
 
 /// Replaces an answer time of zero.
@@ -38,4 +38,4 @@
   return first_in_target == waiting_.end() ? *waiting_.begin() : *first_in_target;
 }
 
-}  // namespace mulberry::gateway
+}  // namespace mulberry::admission
--- a/src/libgateway/call_queue.h
+++ b/src/libadmission/call_queue.h
@@ -4,10 +4,14 @@
 #include <set>
 #include <tuple>
 
-#include "libgateway/admission.h"
-#include "libgateway/types.h"
+#include "libadmission/dispatch_rate.h"
+#include "libadmission/wait_policy.h"
+#include "libbase/base.h"
 
-namespace mulberry::gateway {
+namespace mulberry::admission {
+
+/// Identifies a call in its queue.
+using CallId = StrongNumber<struct CallIdTag>;
 
 /// The data of a call that a queue needs.
 struct QueuedCall {
@@ -48,4 +52,4 @@
   DispatchRate rate_;
 };
 
-}  // namespace mulberry::gateway
+}  // namespace mulberry::admission
--- a/src/libgateway/admission.cc
+++ b/src/libadmission/wait_policy.cc
@@ -1,13 +1,11 @@
-#include "libgateway/admission.h"
+#include "libadmission/wait_policy.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace mulberry::gateway {
+namespace mulberry::admission {
 namespace {
 
-/// Window over which the dispatch rate is measured.
-constexpr Duration kRateWindow = std::chrono::milliseconds(500);
 /// Fraction of the time between target and deadline for which a queued request still waits after it
 /// can no longer meet its target: a late answer is better than none.
 constexpr double kLateWaitFraction = 0.2;
@@ -23,18 +21,6 @@
 
 }  // namespace
 
-void DispatchRate::OnDispatch(TimePoint now) {
-  dispatches_.push_back(now);
-  while (dispatches_.front() < now - kRateWindow) dispatches_.pop_front();
-}
-
-double DispatchRate::PerSecond(double min_rate, TimePoint now) const {
-  const auto recent = std::count_if(dispatches_.begin(), dispatches_.end(),
-                                    [&](TimePoint at) { return at >= now - kRateWindow; });
-  const double window = std::chrono::duration<double>(kRateWindow).count();
-  return std::max(min_rate, static_cast<double>(recent) / window);
-}
-
 Duration ExpectedWait(const QueuePosition& position) {
   const double rate = std::max(position.rate, 1e-3);
   const auto wait = std::chrono::duration<double>((static_cast<double>(position.ahead) + 1) / rate);
@@ -63,4 +49,4 @@
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
-}  // namespace mulberry::gateway
+}  // namespace mulberry::admission
--- a/src/libgateway/admission.h
+++ b/src/libadmission/wait_policy.h
@@ -1,23 +1,10 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
 
 #include "libbase/base.h"
 
-namespace mulberry::gateway {
-
-/// Rate at which a queue recently passed requests to servers. Not thread safe.
-class DispatchRate {
- public:
-  void OnDispatch(TimePoint now);
-  /// Returns dispatches per second, at least `min_rate`, which also serves as the value while there
-  /// are few samples.
-  double PerSecond(double min_rate, TimePoint now) const;
-
- private:
-  std::deque<TimePoint> dispatches_;
-};
+namespace mulberry::admission {
 
 /// Position of a request in a queue and what determines its wait.
 struct QueuePosition {
@@ -45,4 +32,4 @@
 /// spreads callers that were refused together.
 Duration RetryAfter(const QueuePosition& position, double random);
 
-}  // namespace mulberry::gateway
+}  // namespace mulberry::admission
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -218,14 +218,16 @@
   for (auto& [service, queue] : queues_) {
     while (!queue.empty()) {
       const std::size_t before = queue.size();
-      const QueuedCall next = queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now);
-      Call* call = Find(next.id);
+      const admission::QueuedCall next =
+          queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now);
+      const CallId id(next.id.value());
+      Call* call = Find(id);
       if (call == nullptr) {
         queue.Remove(next);
         continue;
       }
       TryDispatch(*call, false, now);
-      EraseIfDone(next.id);
+      EraseIfDone(id);
       if (queue.size() == before) break;
     }
   }
@@ -497,11 +499,12 @@
   calls_.erase(found);
 }
 
-QueuedCall Forwarder::ToQueuedCall(const Call& call) {
-  return {call.id, call.route->priority, call.arrived + call.route->latency_target, call.deadline};
+admission::QueuedCall Forwarder::ToQueuedCall(const Call& call) {
+  return {admission::CallId(call.id.value()), call.route->priority,
+          call.arrived + call.route->latency_target, call.deadline};
 }
 
-QueuePosition Forwarder::PositionOf(const Call& call, TimePoint now) {
+admission::QueuePosition Forwarder::PositionOf(const Call& call, TimePoint now) {
   return queues_[call.service].PositionOf(
       ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
 }
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -12,8 +12,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libadmission/admission.h"
 #include "libgateway/active_config.h"
-#include "libgateway/call_queue.h"
 #include "libgateway/call_timers.h"
 #include "libgateway/caller_server.h"
 #include "libgateway/connection_pool.h"
@@ -125,8 +125,8 @@
               const std::string& request_id, Duration retry_after);
   void CancelAttempts(Call& call, AttemptOutcome end, TimePoint now);
   void EraseIfDone(CallId id);
-  static QueuedCall ToQueuedCall(const Call& call);
-  QueuePosition PositionOf(const Call& call, TimePoint now);
+  static admission::QueuedCall ToQueuedCall(const Call& call);
+  admission::QueuePosition PositionOf(const Call& call, TimePoint now);
   Duration RetryAfterFor(const Call& call, TimePoint now);
 
   void SetTimer(Call& call);
@@ -141,7 +141,7 @@
   std::optional<ShutdownPolicy> shutdown_;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   std::unordered_map<ExchangeId, CallId> calls_by_exchange_;
-  std::map<ServiceName, CallQueue> queues_;
+  std::map<ServiceName, admission::CallQueue> queues_;
   std::minstd_rand random_{std::random_device{}()};
   CallTimers timers_;
   std::uint64_t next_call_ = 1;
