Admission: order among workspaces, minimum parts, no late refusals

Cause: under overload the queue ordered by priority and target time only, so one large workspace took the places of all others, urgent requests alone starved the usual ones, and calls were queued that others were going to overtake; these were refused when their target was long past.

Change, where the configuration has workspaces: FairShares counts recent demand and service by priority and workspace. The workspace that got least comes first, with a minimum part for priorities and workspaces. The expected wait counts only the rate that a call can use, a call that is overtaken is refused at an eighth of its target (overtaken_in_queue) or kept, and Retry-After stays below a third of the time left. Without workspaces the order and the refusals are as before.

The unit, overload and forwarder tests pass.

--- a/src/libadmission/call_queue.h
+++ b/src/libadmission/call_queue.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <tuple>
+#include <utility>
 
 #include "libadmission/dispatch_rate.h"
+#include "libadmission/fair_shares.h"
 #include "libadmission/wait_policy.h"
 #include "libbase/base.h"
 
@@ -20,6 +24,11 @@
   /// A later answer misses the latency target.
   TimePoint target_time;
   TimePoint deadline;
+  /// Empty for calls that belong to no workspace.
+  std::optional<WorkspaceName> workspace = std::nullopt;
+  TimePoint arrived = {};
+  /// When the caller first sent the request, as far as it can be known; at most `arrived`.
+  TimePoint first_arrived = {};
 
   bool operator<(const QueuedCall& other) const {
     return std::tie(priority, target_time, id) <
@@ -29,18 +38,36 @@
 
 /// Calls of one service that wait for a server. Calls that can still meet their target come first,
 /// among these those with the lowest priority number, then the earliest target time. In order of
-/// arrival, all calls would be late under overload. Does no I/O: time is passed in. Not thread
-/// safe.
+/// arrival, all calls would be late under overload. With fair shares, see SetFairShares, workspaces
+/// come between priority and target time. Does no I/O: time is passed in. Not thread safe.
 class CallQueue {
  public:
+  /// Turns the order among workspaces and the minimum parts of FairShares on or off; off at first.
+  /// Calls that wait are kept.
+  void SetFairShares(bool on) { fair_ = on; }
+  bool has_fair_shares() const { return fair_; }
+
+  /// Counts the arrival of a call, whether it will be queued or not. Not needed without fair
+  /// shares.
+  void OnArrival(const QueuedCall& call, TimePoint now);
   /// Adds a call; returns false if it would wait too long, see ShouldQueue.
   bool TryEnqueue(const QueuedCall& call, Duration service_time, TimePoint now);
-  void Remove(const QueuedCall& call) { waiting_.erase(call); }
+  void Remove(const QueuedCall& call);
   /// Counts a dispatched call, whether it was queued or not.
-  void OnDispatch(TimePoint now) { rate_.OnDispatch(now); }
+  void OnDispatch(const QueuedCall& call, TimePoint now);
 
   /// Returns the position that the call has, or would have.
   QueuePosition PositionOf(const QueuedCall& call, Duration service_time, TimePoint now) const;
+  /// False when the call would miss its target. With fair shares this is asked again at FailTime.
+  bool ShouldKeep(const QueuedCall& call, Duration service_time, TimePoint now) const;
+  /// Returns when a queued call is failed if it still has no server. With fair shares there are two
+  /// such times: an early one, at which the call is kept if ShouldKeep, and one before its
+  /// deadline.
+  TimePoint FailTime(const QueuedCall& call, Duration service_time, TimePoint now) const;
+
+  /// Returns the Retry-After value for a call that is refused now. `random` is between 0 and 1.
+  Duration RetryAfterFor(const QueuedCall& call, Duration service_time, double random,
+                         TimePoint now) const;
 
   bool empty() const { return waiting_.empty(); }
   std::size_t size() const { return waiting_.size(); }
@@ -48,8 +75,30 @@
   const QueuedCall& Next(Duration service_time, TimePoint now) const;
 
  private:
+  /// Order of the calls of one flow: by target time, as if they had arrived when first sent.
+  struct SentEarlier {
+    bool operator()(const QueuedCall& left, const QueuedCall& right) const {
+      return std::make_pair(KeyOf(left), left.id) < std::make_pair(KeyOf(right), right.id);
+    }
+    static TimePoint KeyOf(const QueuedCall& call) {
+      return call.target_time - (call.arrived - call.first_arrived);
+    }
+  };
+  /// Priority first, unless one is under-served; then the under-served workspaces.
+  using Rank = std::tuple<int, std::uint32_t, int>;
+  static Flow FlowOf(const QueuedCall& call) { return {call.priority, call.workspace}; }
+  Rank RankOf(const Flow& flow, TimePoint now) const;
+  static TimePoint ReviewTime(const QueuedCall& call);
+  const QueuedCall& NextFairly(Duration service_time, TimePoint now) const;
+  std::size_t CountAheadFairly(const QueuedCall& call, Duration service_time, TimePoint now) const;
+
+  bool fair_ = false;
+  std::uint64_t dispatches_ = 0;
   std::set<QueuedCall> waiting_;
+  /// The same calls by flow.
+  std::map<Flow, std::set<QueuedCall, SentEarlier>> flows_;
   DispatchRate rate_;
+  FairShares shares_;
 };
 
 }  // namespace mulberry::admission
--- a/src/libadmission/wait_policy.cc
+++ b/src/libadmission/wait_policy.cc
@@ -15,6 +15,9 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 
+/// Fraction of the time left that callers are willing to wait, with some margin for the way back.
+constexpr double kHonouredFraction = 0.3;
+
 Duration Scale(Duration duration, double factor) {
   return Duration(std::llround(static_cast<double>(duration.count()) * factor));
 }
@@ -31,6 +34,10 @@
   return now + Scale(service_time, kMinServiceFraction) <= target_time;
 }
 
+TimePoint LastStart(TimePoint deadline, Duration service_time) {
+  return deadline - Scale(service_time, kMinServiceFraction);
+}
+
 bool ShouldQueue(const QueuePosition& position, TimePoint now) {
   const TimePoint start = now + ExpectedWait(position);
   return CanMeetTarget(position.target_time, position.service_time, start);
@@ -49,4 +56,12 @@
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
+Duration RetryAfterWithin(const QueuePosition& position, double random, TimePoint now) {
+  const Duration longest =
+      std::clamp(Scale(position.deadline - now, kHonouredFraction), kMinRetryAfter, kMaxRetryAfter);
+  const Duration half_wait = std::max(kMinRetryAfter, Scale(ExpectedWait(position), 0.5));
+  const Duration shortest = std::min(half_wait, Scale(longest, 0.5));
+  return shortest + Scale(longest - shortest, random);
+}
+
 }  // namespace mulberry::admission
--- a/src/libadmission/wait_policy.h
+++ b/src/libadmission/wait_policy.h
@@ -21,6 +21,9 @@
 /// True when a call that gets a server now can be answered by its target time.
 bool CanMeetTarget(TimePoint target_time, Duration service_time, TimePoint now);
 
+/// Returns when the call must get a server to be answered by its deadline.
+TimePoint LastStart(TimePoint deadline, Duration service_time);
+
 /// False when the request would miss its target. Under overload such a request is refused on
 /// arrival, while its caller still has time to react, instead of making all requests late.
 bool ShouldQueue(const QueuePosition& position, TimePoint now);
@@ -32,4 +35,8 @@
 /// spreads callers that were refused together.
 Duration RetryAfter(const QueuePosition& position, double random);
 
+/// Returns the Retry-After value for callers that come back once and wait at most a third of the
+/// time that they have left: a random time that is not longer than that.
+Duration RetryAfterWithin(const QueuePosition& position, double random, TimePoint now);
+
 }  // namespace mulberry::admission
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -84,6 +84,7 @@
   calls_by_exchange_[exchange] = call->id;
   calls_.emplace(call->id, std::move(call));
   const CallId id = admitted.id;
+  EnterQueue(admitted, arrived);
   TryDispatch(admitted, false, arrived);
   EraseIfDone(id);
 }
@@ -180,6 +181,14 @@
   if (!hedge) Enqueue(call, std::get<NoServerReason>(choice), now);
 }
 
+void Forwarder::EnterQueue(const Call& call, TimePoint now) {
+  const bool fair = !deps_.config.config().workspaces.empty();
+  admission::CallQueue& queue = queues_[call.service];
+  queue.SetFairShares(fair);
+  queue.OnArrival(ToQueuedCall(call), now);
+  if (fair && !queue.empty()) DispatchQueued();
+}
+
 /// Queues a call, or fails it at once when it would be served too late.
 void Forwarder::Enqueue(Call& call, NoServerReason reason, TimePoint now) {
   call.last_wait_reason = NoServerReasonName(reason);
@@ -258,7 +267,7 @@
   ++call.state.running;
   call.tried.insert(choice.id);
   call.tried_addresses.insert(choice.address);
-  queues_[call.service].OnDispatch(now);
+  queues_[call.service].OnDispatch(ToQueuedCall(call), now);
   ExchangeRequest request;
   request.head = WriteServerRequestHead(call.request, call.body->size(), deps_.adapter.headers(),
                                         choice.id, call.deadline - now);
@@ -500,17 +509,21 @@
 }
 
 admission::QueuedCall Forwarder::ToQueuedCall(const Call& call) {
-  return {admission::CallId(call.id.value()), call.route->priority,
-          call.arrived + call.route->latency_target, call.deadline};
-}
-
-admission::QueuePosition Forwarder::PositionOf(const Call& call, TimePoint now) {
-  return queues_[call.service].PositionOf(
-      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
+  // Callers that repeat a refused request state how much of their time limit is left.
+  const TimePoint first_arrived = std::min(call.arrived, call.deadline - call.route->timeout);
+  return {admission::CallId(call.id.value()),
+          call.route->priority,
+          call.arrived + call.route->latency_target,
+          call.deadline,
+          call.workspace,
+          call.arrived,
+          first_arrived};
 }
 
 Duration Forwarder::RetryAfterFor(const Call& call, TimePoint now) {
-  return RetryAfter(PositionOf(call, now), std::uniform_real_distribution<double>(0, 1)(random_));
+  return queues_[call.service].RetryAfterFor(
+      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime),
+      std::uniform_real_distribution<double>(0, 1)(random_), now);
 }
 
 Forwarder::Call* Forwarder::Find(CallId id) {
@@ -523,7 +536,9 @@
   if (call.answered) due = call.deadline + kLateAttemptTimeout;
   if (!call.answered && call.running.empty()) due = call.deadline;
   if (call.queued) {
-    due = std::min(due, QueueDeadline(PositionOf(call, MonotonicClock::now())));
+    const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
+    due = std::min(
+        due, queues_[call.service].FailTime(ToQueuedCall(call), usual_time, MonotonicClock::now()));
   }
   due = std::min(due, call.hedge_at);
   timers_.Set(call.id, due);
@@ -547,14 +562,29 @@
     }
     return;
   }
+  if (KeepsWaiting(call, now)) {
+    SetTimer(call);
+    return;
+  }
   if (call.running.empty()) {
-    FailCall(call, FailureCause::kTimeout, "queue_time_over", RetryAfterFor(call, now), now);
+    const bool overtaken =
+        call.queued && queues_[call.service].has_fair_shares() && !IsTooLate(call, now);
+    FailCall(call, FailureCause::kTimeout, overtaken ? "overtaken_in_queue" : "queue_time_over",
+             RetryAfterFor(call, now), now);
   } else {
     FailCall(call, FailureCause::kTimeout, "no_answer_in_time", Duration::zero(), now);
   }
   EraseIfDone(id);
 }
 
+bool Forwarder::KeepsWaiting(const Call& call, TimePoint now) {
+  const admission::CallQueue& queue = queues_[call.service];
+  if (!call.queued || !queue.has_fair_shares()) return false;
+  const admission::QueuedCall queued = ToQueuedCall(call);
+  const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
+  return queue.FailTime(queued, usual_time, now) > now && queue.ShouldKeep(queued, usual_time, now);
+}
+
 void Forwarder::Sweep(TimePoint now) { links_.Sweep(now); }
 
 void Forwarder::FailAll(TimePoint now) {
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -86,6 +86,8 @@
     std::string request_id;
     std::shared_ptr<const Route> route;
     ServiceName service;
+    /// Empty if the request belongs to no workspace.
+    std::optional<WorkspaceName> workspace;
     TimePoint arrived;
     TimePoint deadline;
     CallState state;
@@ -102,6 +104,10 @@
   bool Admit(Call& call);
   bool IsTooLate(const Call& call, TimePoint now) const;
   void TryDispatch(Call& call, bool hedge, TimePoint now);
+  /// Counts the call's arrival and lets those that already wait go first.
+  void EnterQueue(const Call& call, TimePoint now);
+  /// True when a queued call whose timer expired may wait on.
+  bool KeepsWaiting(const Call& call, TimePoint now);
   void Enqueue(Call& call, NoServerReason reason, TimePoint now);
   void Dequeue(Call& call);
   Result<std::shared_ptr<HttpClientConnection>> ConnectionFor(const Call& call,
@@ -126,7 +132,6 @@
   void CancelAttempts(Call& call, AttemptOutcome end, TimePoint now);
   void EraseIfDone(CallId id);
   static admission::QueuedCall ToQueuedCall(const Call& call);
-  admission::QueuePosition PositionOf(const Call& call, TimePoint now);
   Duration RetryAfterFor(const Call& call, TimePoint now);
 
   void SetTimer(Call& call);
--- a/tests/gateway/overload_model.cc
+++ b/tests/gateway/overload_model.cc
@@ -1,6 +1,7 @@
 #include "overload_model.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace mulberry::gateway {
@@ -20,6 +21,12 @@
 constexpr Duration kReportInterval = milliseconds(25);
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t kMaxAttempts = 2;
+/// With 79 workspaces, gives the largest a quarter of the requests.
+constexpr double kSizeExponent = -1.1;
+constexpr Duration kTarget = milliseconds(200);
+constexpr Duration kTimeout = milliseconds(800);
+constexpr Duration kImpatientInterval = milliseconds(5);
+constexpr int kImpatientRepeats = 10;
 
 }  // namespace
 
@@ -36,9 +43,16 @@
     servers_[entry.id].pauses = i < options_.pausing_servers;
   }
   DrawSlowness();
+  queue_.SetFairShares(options_.fair);
+  std::vector<double> sizes;
+  for (int i = 0; i < options_.workspaces; ++i) {
+    sizes.push_back(std::pow(i + 1, kSizeExponent) * (i == options_.hot_workspace ? 7 : 1));
+  }
+  draw_workspace_ = std::discrete_distribution<int>(sizes.begin(), sizes.end());
+  by_workspace_.resize(sizes.size());
 }
 
-std::map<std::uint32_t, PriorityResult> OverloadModel::Run(Duration length) {
+std::map<std::uint32_t, LoadResult> OverloadModel::Run(Duration length) {
   TimePoint now = TimePoint(std::chrono::seconds(10));
   const TimePoint end = now + length;
   TimePoint next_redraw = now;
@@ -55,6 +69,7 @@
     RunServers(kStep, now);
     ExpireQueued(now);
     DispatchQueued(now);
+    RepeatRefused(now);
     GenerateArrivals(now);
   }
   return results_;
@@ -67,25 +82,46 @@
     const double rate = priority == 1 ? options_.urgent_rate : options_.usual_rate;
     if (unit(random_) >= rate * step) continue;
     Caller caller;
-    caller.arrived = now;
-    caller.call = {admission::CallId(next_id_++), priority, now + milliseconds(200),
-                   now + milliseconds(800)};
-    ++results_[priority].requested;
-    if (queue_.empty() && TryDispatch(caller, now)) continue;
-    const Duration usual = pool_.ServiceTime(search_service, milliseconds(60));
-    if (options_.admission) {
-      if (queue_.TryEnqueue(caller.call, usual, now)) {
-        caller.queued = true;
-        callers_[caller.call.id.value()] = caller;
-      } else {
-        Refuse(caller, now);
-      }
-      continue;
+    caller.first_arrived = now;
+    caller.call.priority = priority;
+    caller.call.deadline = now + kTimeout;
+    if (options_.workspaces > 0) {
+      caller.workspace = draw_workspace_(random_);
+      caller.call.workspace = WorkspaceName("w" + std::to_string(caller.workspace));
     }
-    admission::QueuedCall call = caller.call;
-    call.target_time = now + std::chrono::hours(1);
-    call.deadline = call.target_time;
-    if (queue_.TryEnqueue(call, usual, now)) callers_[caller.call.id.value()] = {call, now, true};
+    if (options_.impatient > 0) caller.impatient = unit(random_) < options_.impatient;
+    for (LoadResult* result : ResultsOf(caller)) ++result->requested;
+    Arrive(caller, now);
+  }
+}
+
+void OverloadModel::RepeatRefused(TimePoint now) {
+  while (!returning_.empty() && returning_.begin()->first <= now) {
+    Caller caller = returning_.extract(returning_.begin()).mapped();
+    ++caller.repeats;
+    Arrive(caller, now);
+  }
+}
+
+void OverloadModel::Arrive(Caller caller, TimePoint now) {
+  caller.arrived = now;
+  caller.queued = false;
+  caller.call.id = admission::CallId(next_id_++);
+  caller.call.target_time = now + kTarget;
+  caller.call.arrived = now;
+  caller.call.first_arrived = caller.first_arrived;
+  queue_.OnArrival(caller.call, now);
+  if (queue_.empty() && TryDispatch(caller, now)) return;
+  const Duration usual = pool_.ServiceTime(search_service, milliseconds(60));
+  if (!options_.admission) {
+    caller.call.target_time = now + std::chrono::hours(1);
+    caller.call.deadline = caller.call.target_time;
+  }
+  if (queue_.TryEnqueue(caller.call, usual, now)) {
+    caller.queued = true;
+    callers_[caller.call.id.value()] = caller;
+  } else {
+    Refuse(caller, now);
   }
 }
 
@@ -93,11 +129,14 @@
   const Duration usual = pool_.ServiceTime(search_service, milliseconds(60));
   for (auto entry = callers_.begin(); entry != callers_.end();) {
     const Caller caller = entry->second;
-    const TimePoint limit = options_.admission
-                                ? QueueDeadline(queue_.PositionOf(caller.call, usual, now))
-                                : caller.arrived + milliseconds(800);
+    const TimePoint limit = options_.admission ? queue_.FailTime(caller.call, usual, now - kStep)
+                                               : caller.arrived + kTimeout;
     ++entry;
     if (!caller.queued || now <= limit) continue;
+    if (options_.fair && limit < now && queue_.FailTime(caller.call, usual, now) > now &&
+        queue_.ShouldKeep(caller.call, usual, now)) {
+      continue;
+    }
     queue_.Remove(caller.call);
     callers_.erase(caller.call.id.value());
     Refuse(caller, now);
@@ -129,8 +168,9 @@
     chosen.reset();
     if (tried.size() == kMaxAttempts) return false;
   }
-  queue_.OnDispatch(now);
-  callers_[caller.call.id.value()] = {caller.call, caller.arrived, false};
+  queue_.OnDispatch(caller.call, now);
+  callers_[caller.call.id.value()] = caller;
+  callers_[caller.call.id.value()].queued = false;
   std::uniform_real_distribution<double> spread(0.7, 1.3);
   servers_[chosen->id].running.push_back(
       {caller.call.id.value(), pool_.OnSent(chosen->id, now), kWorkSeconds * spread(random_)});
@@ -158,12 +198,18 @@
   pool_.OnLoadReport(id, ReportOf(servers_.at(id)), now);
   const Caller caller = callers_.at(done.caller);
   callers_.erase(done.caller);
-  PriorityResult& result = results_[caller.call.priority];
-  if (now - caller.arrived <= milliseconds(200)) {
-    ++result.in_target;
-  } else {
-    ++result.late;
+  for (LoadResult* result : ResultsOf(caller)) {
+    ++(now - caller.first_arrived <= kTarget ? result->in_target : result->late);
+  }
+}
+
+std::vector<LoadResult*> OverloadModel::ResultsOf(const Caller& caller) {
+  std::vector<LoadResult*> results = {&results_[caller.call.priority],
+                                      &by_patience_[caller.impatient ? 1 : 0]};
+  if (caller.workspace >= 0) {
+    results.push_back(&by_workspace_[static_cast<std::size_t>(caller.workspace)]);
   }
+  return results;
 }
 
 void OverloadModel::DrawSlowness() {
@@ -174,9 +220,25 @@
 }
 
 void OverloadModel::Refuse(const Caller& caller, TimePoint now) {
-  PriorityResult& result = results_[caller.call.priority];
-  ++result.refused;
-  result.slowest_refusal = std::max(result.slowest_refusal, Duration(now - caller.arrived));
+  const Duration held = now - caller.arrived;
+  for (LoadResult* result : ResultsOf(caller)) {
+    if (held > kTarget / 8 + kStep) ++result->refused_late;
+    result->slowest_refusal = std::max(result->slowest_refusal, held);
+  }
+  if (caller.impatient && caller.repeats < kImpatientRepeats) {
+    returning_.emplace(now + kImpatientInterval, caller);
+    return;
+  }
+  if (options_.callers_return && !caller.impatient && caller.repeats == 0) {
+    const Duration usual = pool_.ServiceTime(search_service, milliseconds(60));
+    std::uniform_real_distribution<double> unit(0, 1);
+    const Duration told = queue_.RetryAfterFor(caller.call, usual, unit(random_), now);
+    if (told <= (caller.call.deadline - now) / 3) {
+      returning_.emplace(now + told, caller);
+      return;
+    }
+  }
+  for (LoadResult* result : ResultsOf(caller)) ++result->refused;
 }
 
 LoadReport OverloadModel::ReportOf(const Server& server) const {
--- a/tests/gateway/overload_test.cc
+++ b/tests/gateway/overload_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "overload_model.h"
 
 namespace mulberry::gateway {
@@ -18,7 +20,7 @@
   return options;
 }
 
-double InTarget(std::map<std::uint32_t, PriorityResult> results) {
+double InTarget(std::map<std::uint32_t, LoadResult> results) {
   return static_cast<double>(results[1].in_target + results[2].in_target) /
          (results[1].requested + results[2].requested);
 }
@@ -104,5 +106,82 @@
   CHECK(shares.estimated > shares.never_full);
 }
 
+/// Results of one load with 79 workspaces, the sixth largest at seven times its requests.
+struct WorkspaceResults {
+  double mean = 0;         ///< Share within target, mean of the workspaces.
+  double worst_tenth = 0;  ///< The same for the worst-served tenth of them.
+  double overall_served = 0;
+  double least_served = 1;  ///< Served share of the workspace with the lowest one.
+  std::map<std::uint32_t, LoadResult> kinds;
+};
+
+WorkspaceResults RunWorkspaces(double load, std::uint64_t seed, bool fair) {
+  OverloadOptions options = Options(load, seed);
+  options.workspaces = 79;
+  options.hot_workspace = 5;
+  options.fair = fair;
+  OverloadModel model(options);
+  WorkspaceResults results;
+  results.kinds = model.Run(seconds(20));
+  const LoadResult& urgent = results.kinds[1];
+  const LoadResult& usual = results.kinds[2];
+  results.overall_served =
+      static_cast<double>(urgent.in_target + urgent.late + usual.in_target + usual.late) /
+      (urgent.requested + usual.requested);
+  std::vector<double> shares;
+  for (const LoadResult& workspace : model.by_workspace()) {
+    if (workspace.requested == 0) continue;
+    shares.push_back(workspace.InTargetShare());
+    results.mean += shares.back();
+    // The share of a few requests is chance.
+    if (workspace.requested < 20) continue;
+    results.least_served = std::min(results.least_served, workspace.ServedShare());
+  }
+  std::sort(shares.begin(), shares.end());
+  results.mean /= static_cast<double>(shares.size());
+  const std::size_t tenth = shares.size() / 10;
+  for (std::size_t i = 0; i < tenth; ++i) results.worst_tenth += shares[i] / tenth;
+  return results;
+}
+
+// Guards against a large workspace that takes the servers of all others, starved workspaces and
+// kinds, and late refusals.
+TEST_CASE("with fair shares, a workspace that sends much bears the cost of an overload") {
+  for (const double load : {1.2, 1.6, 2.5}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      CAPTURE(load);
+      CAPTURE(seed);
+      const WorkspaceResults before = RunWorkspaces(load, seed, false);
+      WorkspaceResults fair = RunWorkspaces(load, seed, true);
+      MESSAGE("load ", load, ": mean ", before.mean, " -> ", fair.mean, ", worst tenth ",
+              before.worst_tenth, " -> ", fair.worst_tenth, ", urgent ",
+              before.kinds.at(1).InTargetShare(), " -> ", fair.kinds[1].InTargetShare(), ", usual ",
+              before.kinds.at(2).InTargetShare(), " -> ", fair.kinds[2].InTargetShare());
+      CHECK(fair.mean > before.mean);
+      CHECK(fair.worst_tenth > before.worst_tenth);
+      CHECK(fair.least_served > 0.25 * fair.overall_served);
+      CHECK(fair.kinds[2].ServedShare() > 0.25 * fair.overall_served);
+      CHECK(fair.kinds[1].InTargetShare() > fair.kinds[2].InTargetShare());
+      CHECK(fair.kinds[1].refused_late + fair.kinds[2].refused_late == 0);
+    }
+  }
+}
+
+// Guards against a minimum part that only exists on paper: urgent requests alone fill the servers.
+TEST_CASE("with fair shares, urgent requests do not starve the usual ones") {
+  OverloadOptions options = Options(1, 1);
+  options.urgent_rate = 400;
+  options.usual_rate = 50;
+  options.workspaces = 79;
+  auto before = OverloadModel(options).Run(seconds(20));
+  options.fair = true;
+  auto results = OverloadModel(options).Run(seconds(20));
+  MESSAGE("served: urgent ", before[1].ServedShare(), " -> ", results[1].ServedShare(), ", usual ",
+          before[2].ServedShare(), " -> ", results[2].ServedShare());
+  CHECK(before[2].ServedShare() < 0.25 * before[1].ServedShare());
+  CHECK(results[2].ServedShare() > 0.25 * results[1].ServedShare());
+  CHECK(results[1].ServedShare() >= results[2].ServedShare());
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
