--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -102,6 +102,8 @@
     std::string request_id;
     std::shared_ptr<const Route> route;
     ServiceName service;
+    /// Empty if the request belongs to no workspace.
+    std::optional<WorkspaceName> workspace;
     TimePoint arrived;
     TimePoint deadline;
     std::uint32_t priority = 0;  ///< The workspace's if it has one, else the route's.
@@ -134,6 +136,10 @@
   bool HasCapToken(const Call& call) const;
   void WaitForCap(Call& call);
   void FailOverCap(Call& call, Duration retry_after, TimePoint now);
+  /// Counts the call's arrival and lets those that already wait go first.
+  void EnterQueue(const Call& call, TimePoint now);
+  /// True when a queued call whose timer expired may wait on.
+  bool KeepsWaiting(const Call& call, TimePoint now);
   void Enqueue(Call& call, NoServerReason reason, TimePoint now);
   void Dequeue(Call& call);
   Result<std::shared_ptr<HttpClientConnection>> ConnectionFor(const Call& call,
@@ -160,7 +166,6 @@
   void CancelAttempts(Call& call, AttemptOutcome end, TimePoint now);
   void EraseIfDone(CallId id);
   static admission::QueuedCall ToQueuedCall(const Call& call);
-  admission::QueuePosition PositionOf(const Call& call, TimePoint now);
   Duration RetryAfterFor(const Call& call, TimePoint now);
 
   void SetTimer(Call& call);
