--- a/src/libbase/ids.h
+++ b/src/libbase/ids.h
@@ -68,8 +68,6 @@
 using StartId = StrongNumber<struct StartIdTag>;
 /// Number of a request, unique on the entry host that handles it.
 using RequestId = StrongNumber<struct RequestIdTag>;
-/// Identifies a caller's request at the entry host that received it.
-using CallId = StrongNumber<struct CallIdTag>;
 /// Number of one attempt to run a request on a backend server.
 using DispatchId = StrongNumber<struct DispatchIdTag>;
 /// Position in the platform's log. The first record has offset 1; zero means that no record was
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -15,6 +15,8 @@
 
 /// Version of a configuration; a higher one replaces a lower one.
 using ConfigVersion = StrongNumber<struct ConfigVersionTag>;
+/// Identifies a caller's request at this host.
+using CallId = StrongNumber<struct CallIdTag>;
 /// Identifies one attempt to send a call to a backend server.
 using AttemptId = StrongNumber<struct AttemptIdTag>;
 
