--- a/tests/platform/caps_test.cc
+++ b/tests/platform/caps_test.cc
@@ -27,7 +27,7 @@
     const std::string workspace =
         R"({"ResourceType":"Tenants","Metadata":{"Name":"w"},"Spec":{"ApiKeys":["key-1"],"RatePerS":)" +
         std::to_string(rate) + R"(,"Burst":)" + std::to_string(burst) + "}},";
-    text.insert(text.find("[") + 1, workspace);
+    text.insert(text.find('[') + 1, workspace);
     return text;
   }
   void StartNodes() {
--- a/tests/workspace/cap_fleet_test.cc
+++ b/tests/workspace/cap_fleet_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -116,12 +117,13 @@
 /// Guards against refusals of workspaces below their caps, in particular of small ones, whose
 /// tokens are spread over the lenders.
 TEST_CASE("workspaces below their caps are served, also through one host and after failures") {
-  // The usual rates of 79 workspaces: the largest has a quarter of 600 requests per second, the
-  // smallest less than one.
+  // The usual rates of 79 workspaces, about 1,260 requests per second together: the largest has
+  // 150, 33 have 0.5 and would be refused if their tokens lay in buckets that never hold a whole
+  // one.
   std::vector<Workspace> workspaces;
   std::vector<double> rates;
   for (int i = 0; i < 79; ++i) {
-    rates.push_back(std::max(0.5, 150.0 / (1 + 0.6 * i)));
+    rates.push_back(std::max(0.5, 150 * std::pow(0.88, i)));
     workspaces.push_back(Make("w" + std::to_string(i), 1.6 * rates.back(), 2 * rates.back() + 4));
   }
   std::size_t hosts = CapFleet::kAdvertised;
