--- a/tests/workspace/cap_fleet_test.cc
+++ b/tests/workspace/cap_fleet_test.cc
@@ -118,7 +118,7 @@
 /// tokens are spread over the lenders.
 TEST_CASE("workspaces below their caps are served, also through one host and after failures") {
   // The usual rates of 79 workspaces, about 1,260 requests per second together: the largest has
-  // 150, 33 have 0.5 and would be refused if their tokens lay in buckets that never hold a whole
+  // 150, 34 have 0.5 and would be refused if their tokens lay in buckets that never hold a whole
   // one.
   std::vector<Workspace> workspaces;
   std::vector<double> rates;
