--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -102,8 +102,6 @@
     std::string request_id;
     std::shared_ptr<const Route> route;
     ServiceName service;
-    /// Empty if the request belongs to no workspace.
-    std::optional<WorkspaceName> workspace;
     TimePoint arrived;
     TimePoint deadline;
     std::uint32_t priority = 0;  ///< The workspace's if it has one, else the route's.
