--- a/tests/workspace/freshness_proof_test.cc
+++ b/tests/workspace/freshness_proof_test.cc
@@ -137,8 +137,9 @@
         queries_.push_back({index, host.start, host.proof.OnQuerySent(now_)});
         break;
       case 5:
-        if (!queries_.empty())
+        if (!queries_.empty()) {
           Answer(queries_[choice % queries_.size()], hosts_[choice / 7 % kHosts]);
+        }
         break;
       case 6:
         if (!answers_.empty()) DeliverAnswer(answers_[choice % answers_.size()]);
