Forwarder: a call that ran out of time in the queue is not reported as overtaken

The reason overtaken_in_queue was told by the time left to the deadline, but a kept call is failed while a little more than that is left, so it would have been reported as overtaken. It is now told by the time at which the queue fails the call. The 22 forwarder tests pass as before; mulberryd builds.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -536,9 +536,7 @@
   if (call.answered) due = call.deadline + kLateAttemptTimeout;
   if (!call.answered && call.running.empty()) due = call.deadline;
   if (call.queued) {
-    const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
-    due = std::min(
-        due, queues_[call.service].FailTime(ToQueuedCall(call), usual_time, MonotonicClock::now()));
+    due = std::min(due, FailTimeOf(call, MonotonicClock::now()));
   }
   due = std::min(due, call.hedge_at);
   timers_.Set(call.id, due);
@@ -568,7 +566,7 @@
   }
   if (call.running.empty()) {
     const bool overtaken =
-        call.queued && queues_[call.service].has_fair_shares() && !IsTooLate(call, now);
+        call.queued && queues_[call.service].has_fair_shares() && FailTimeOf(call, now) > now;
     FailCall(call, FailureCause::kTimeout, overtaken ? "overtaken_in_queue" : "queue_time_over",
              RetryAfterFor(call, now), now);
   } else {
@@ -580,9 +578,13 @@
 bool Forwarder::KeepsWaiting(const Call& call, TimePoint now) {
   const admission::CallQueue& queue = queues_[call.service];
   if (!call.queued || !queue.has_fair_shares()) return false;
-  const admission::QueuedCall queued = ToQueuedCall(call);
   const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
-  return queue.FailTime(queued, usual_time, now) > now && queue.ShouldKeep(queued, usual_time, now);
+  return FailTimeOf(call, now) > now && queue.ShouldKeep(ToQueuedCall(call), usual_time, now);
+}
+
+TimePoint Forwarder::FailTimeOf(const Call& call, TimePoint now) {
+  return queues_[call.service].FailTime(
+      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
 }
 
 void Forwarder::Sweep(TimePoint now) { links_.Sweep(now); }
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -108,6 +108,7 @@
   void EnterQueue(const Call& call, TimePoint now);
   /// True when a queued call whose timer expired may wait on.
   bool KeepsWaiting(const Call& call, TimePoint now);
+  TimePoint FailTimeOf(const Call& call, TimePoint now);
   void Enqueue(Call& call, NoServerReason reason, TimePoint now);
   void Dequeue(Call& call);
   Result<std::shared_ptr<HttpClientConnection>> ConnectionFor(const Call& call,
