Admission: distinct tag for queued call ids, as the lint asks

clang-tidy reports two tags of the same name in different namespaces as a misplaced forward declaration, and a vector of the overload model that is filled without reserving. No change of behaviour; the admission, overload and forwarder tests pass.

--- a/src/libadmission/call_queue.h
+++ b/src/libadmission/call_queue.h
@@ -15,7 +15,7 @@
 namespace mulberry::admission {
 
 /// Identifies a call in its queue.
-using CallId = StrongNumber<struct CallIdTag>;
+using CallId = StrongNumber<struct QueuedCallIdTag>;
 
 /// The data of a call that a queue needs.
 struct QueuedCall {
--- a/tests/gateway/overload_model.cc
+++ b/tests/gateway/overload_model.cc
@@ -45,6 +45,7 @@
   DrawSlowness();
   queue_.SetFairShares(options_.fair);
   std::vector<double> sizes;
+  sizes.reserve(static_cast<std::size_t>(options_.workspaces));
   for (int i = 0; i < options_.workspaces; ++i) {
     sizes.push_back(std::pow(i + 1, kSizeExponent) * (i == options_.hot_workspace ? 7 : 1));
   }
