Rollouts: the canary phase ends at 68 % of the time at the latest

With few requests and an order of 6 s, the canary phase of 72 % left a completion 12 ms before the deadline in one node test.

--- a/src/librollout/coordinator.cc
+++ b/src/librollout/coordinator.cc
@@ -16,7 +16,7 @@
 constexpr Duration kCommitTime = std::chrono::milliseconds(500);
 /// Parts of the order's duration at which the phases end, and at the latest.
 constexpr double kCanaryEnd = 0.6;
-constexpr double kCanaryLatestEnd = 0.72;
+constexpr double kCanaryLatestEnd = 0.68;
 constexpr double kShiftTime = 0.08;
 constexpr double kShiftLatestEnd = 0.82;
 constexpr double kDrainLatestEnd = 0.9;
