Rollouts: after a version was taken back, only the version in force gets requests

An order of v3 that replaced one of v2 ended rolled back, and every version but v3 was allowed again, v2 included, although it had been taken back: the new node test saw one request there. Requests go to the version in force now.

--- a/src/libgateway/rollout_controller.cc
+++ b/src/libgateway/rollout_controller.cc
@@ -373,8 +373,10 @@
     }
   }
   const std::function<bool(const ServerEntry&)> accepts = [&](const ServerEntry& entry) {
-    return use == rollout::Use::kNotTarget ? entry.version != target
-                                           : entry.version == state.usable;
+    // Of the versions that may be used after the target was taken back, another one may have been
+    // taken back before.
+    return entry.version == state.usable &&
+           (use != rollout::Use::kNotTarget || entry.version != target);
   };
   request.accepts = &accepts;
   return parts_.pool.Select(request, now);
--- a/src/libgateway/rollout_status_log.cc
+++ b/src/libgateway/rollout_status_log.cc
@@ -111,9 +111,8 @@
 void RolloutStatusLog::Write(const rollout::Status& status, TimePoint now) {
   call_pending_ = true;
   next_call_at_ = now;
-  store_.Call(
-      adapter_.PutRolloutStatus(status, end_), kCallTimeout,
-      [this, status](Result<HttpMessage> response) { OnWritten(status, std::move(response)); });
+  store_.Call(adapter_.PutRolloutStatus(status, end_), kCallTimeout,
+              [this, status](const Result<HttpMessage>& response) { OnWritten(status, response); });
 }
 
 void RolloutStatusLog::OnWritten(const rollout::Status& status,
--- a/src/librollout/evidence.cc
+++ b/src/librollout/evidence.cc
@@ -203,7 +203,9 @@
   verdict.enough = target_responses >= kEnoughResponses;
   for (const auto& [route, counts] : evidence) {
     const std::string reason = JudgeRoute(counts, shifting);
-    if (!reason.empty()) return {true, true, false, "route " + route + ": " + reason};
+    if (!reason.empty()) {
+      return {true, true, false, std::string("route ").append(route).append(": ").append(reason)};
+    }
     const std::uint32_t of_target = counts.Target().responses;
     const double on_route = counts.other().responses + static_cast<double>(of_target);
     if (on_route >= kMinTrafficFraction * responses && of_target < kEnoughResponses) {
--- a/src/librollout/host_rollout.cc
+++ b/src/librollout/host_rollout.cc
@@ -71,7 +71,7 @@
   report.requests = requests_;
   report.sent = sent_;
   report.exposed = exposed_;
-  // A state that has ended is not followed any more, except that it was decided.
+  // Also if the last state is not recent any more: what was decided is not forgotten.
   report.phase = phase_;
   report.recorded = recorded_;
   report.reason = reason_;
--- a/src/librollout/host_rollout.h
+++ b/src/librollout/host_rollout.h
@@ -12,7 +12,7 @@
 /// Which servers a request may go to.
 enum class Use : std::uint8_t {
   kOther,        ///< The version in force.
-  kNotTarget,    ///< Every version but the target.
+  kNotTarget,    ///< The version in force, and never the target.
   kTargetFirst,  ///< The target, or the version in force where the target has no room.
   kTargetOnly,
 };
--- a/tests/platform/rollout_test.cc
+++ b/tests/platform/rollout_test.cc
@@ -235,6 +235,40 @@
   CHECK(HasState("rolled_back"));
 }
 
+TEST_CASE_FIXTURE(RolloutFixture, "another coordinator has written the final status first") {
+  // Guards against two deciders that both write: the first record stands, on all hosts.
+  AddNodes();
+  SetTargetMode(BackendMode::kFailing);
+  Order(OrderText("v2", 8));
+  REQUIRE(SendUntil("running", std::chrono::seconds(3)));
+  store.Put("keyed.status", kOrderKey,
+            R"({"Service":"s","State":"completed","TargetVersion":"v2","Reason":"other"})");
+  const std::uint64_t end = store.End("keyed.status");
+  SendFor(std::chrono::milliseconds(4000));
+  CHECK(HasState("completed"));
+  CHECK(store.End("keyed.status") == end);
+  const std::size_t old_runs = server_one.runs().size();
+  SendFor(std::chrono::milliseconds(300));
+  CHECK(server_one.runs().size() == old_runs);
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "an order is replaced by one for a version without servers") {
+  // Guards against an order whose end nobody is told.
+  AddNodes();
+  Order(OrderText("v2", 8));
+  REQUIRE(SendUntil("running", std::chrono::seconds(3)));
+  SendFor(std::chrono::milliseconds(1500));
+  const std::uint64_t end = store.End("keyed.status");
+  Order(OrderText("v3", 4));
+  SendFor(std::chrono::milliseconds(1200));
+  CHECK(store.End("keyed.status") == end + 2);
+  CHECK(HasState("running"));
+  const std::size_t runs = TargetRuns();
+  CHECK(SendUntil("rolled_back", std::chrono::seconds(4)));
+  CHECK(Status().find("no server of the version") != std::string::npos);
+  CHECK(TargetRuns() == runs);
+}
+
 TEST_CASE_FIXTURE(RolloutFixture, "without the settings, versions are ignored") {
   // Guards against a change for deployments that order no rollouts.
   change_settings = nullptr;
