Tests: constants of the rollout model are constexpr arrays

clang-tidy rejects the names of the two vectors, which are not constants to it. Arrays are; test_rollout passes 18 of 18 cases and the changed files are clean.

--- a/tests/rollout/rollout_model.cc
+++ b/tests/rollout/rollout_model.cc
@@ -1,6 +1,7 @@
 #include "rollout_model.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace mulberry::rollout {
@@ -12,8 +13,8 @@
 constexpr Duration kColdSendInterval = std::chrono::milliseconds(67);  ///< 15 a second.
 constexpr Duration kReportInterval = std::chrono::milliseconds(200);
 constexpr double kUsualFailureRate = 0.005;
-const std::vector<double> kRouteShares{0.62, 0.3, 0.08};
-const std::vector<double> kRouteMs{20, 45, 30};
+constexpr std::array<double, 3> kRouteShares{0.62, 0.3, 0.08};
+constexpr std::array<double, 3> kRouteMs{20, 45, 30};
 
 }  // namespace
 
