--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -393,7 +393,8 @@
 }
 
 AttemptContext ServerPool::OnSent(const ServerName& id, TimePoint now) {
-  AttemptContext context{now, false, 1, {}, false};
+  AttemptContext context;
+  context.sent = now;
   const auto found = servers_.find(id);
   if (found == servers_.end()) return context;
   Server& server = found->second;
