Admission: a floor is missed by a whole call, not by a fraction of one

The first waiting call of a lower priority counted as under-served and overtook urgent ones: the test that a workspace's priority precedes the route's failed with the fair order (2 checks). Now a priority or a flow must be owed at least one call.

--- a/src/libadmission/fair_shares.cc
+++ b/src/libadmission/fair_shares.cc
@@ -17,6 +17,9 @@
 constexpr double kNegligibleCalls = 0.01;
 /// With fewer recent calls than this the parts of the flows say nothing.
 constexpr double kFewCalls = 10;
+/// Calls by which a floor must be missed. With a fraction of a call, each first call of a priority
+/// or a flow would count as under-served and overtake urgent ones.
+constexpr double kMinOwedCalls = 1;
 /// Unserved fraction of the recent calls from which on the service of calls that come first counts
 /// in full; while all calls are served, a queue is short and empties before it is overtaken.
 constexpr double kFullOverload = 0.1;
@@ -78,7 +81,9 @@
 
 bool FairShares::IsBelow(const Counts& counts, double floor, TimePoint now) const {
   const Counts all = At(all_, now);
-  return counts.served * all.arrived < floor * all.served * counts.arrived;
+  if (all.arrived <= 0) return false;
+  const double owed = floor * all.served / all.arrived * counts.arrived;
+  return owed - counts.served >= kMinOwedCalls;
 }
 
 FairShares::Counts& FairShares::CountsOf(const Flow& flow, TimePoint now) {
--- a/tests/gateway/placement_model.cc
+++ b/tests/gateway/placement_model.cc
@@ -118,10 +118,10 @@
 
 void PlacementModel::Arrive(Host& host) {
   ++result_.requested;
-  const CallId call(next_id_++);
-  if (host.queue.empty() && Dispatch(host, call, now_)) return;
+  const admission::CallId call(next_id_++);
+  if (host.queue.empty() && Dispatch(host, now_)) return;
   const Duration usual = host.pool->ServiceTime(search_service, kUsualTime);
-  const QueuedCall queued{call, 1, now_ + kTarget, now_ + kTimeout};
+  const admission::QueuedCall queued{call, 1, now_ + kTarget, now_ + kTimeout};
   if (!host.queue.TryEnqueue(queued, usual, now_)) {
     ++result_.refused;
     return;
@@ -132,9 +132,9 @@
 void PlacementModel::DispatchQueued(Host& host) {
   const Duration usual = host.pool->ServiceTime(search_service, kUsualTime);
   while (!host.queue.empty()) {
-    const QueuedCall next = host.queue.Next(usual, now_);
-    const bool expired = now_ > QueueDeadline(host.queue.PositionOf(next, usual, now_));
-    if (!expired && !Dispatch(host, next.id, host.waiting.at(next.id))) return;
+    const admission::QueuedCall next = host.queue.Next(usual, now_);
+    const bool expired = now_ > admission::QueueDeadline(host.queue.PositionOf(next, usual, now_));
+    if (!expired && !Dispatch(host, host.waiting.at(next.id))) return;
     if (expired) ++result_.refused;
     host.queue.Remove(next);
     host.waiting.erase(next.id);
@@ -142,16 +142,15 @@
 }
 
 /// Sends a call that is not idempotent, so that it has a single attempt.
-bool PlacementModel::Dispatch(Host& host, CallId call, TimePoint arrived) {
-  (void)call;
+bool PlacementModel::Dispatch(Host& host, TimePoint arrived) {
   const auto choice =
-      host.pool->Select({search_service, {}, false, false, host.queue.size(), 20e3}, now_);
+      host.pool->Select({search_service, {}, false, false, nullptr, host.queue.size(), 20e3}, now_);
   const auto* chosen = std::get_if<Selection>(&choice);
   if (chosen == nullptr) return false;
   const ServerName id = chosen->id;
   Server& server = servers_.at(id);
   ++server.requests;
-  host.queue.OnDispatch(now_);
+  host.queue.OnDispatch({}, now_);
   const AttemptContext context = host.pool->OnSent(id, now_);
   const Duration delay = DelayTo(host, server);
   if (delay > Duration::zero()) {
--- a/tests/gateway/placement_model.h
+++ b/tests/gateway/placement_model.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "libgateway/call_queue.h"
+#include "libadmission/admission.h"
 #include "libgateway/server_pool.h"
 
 namespace mulberry::gateway {
@@ -59,8 +59,8 @@
     std::size_t data_centre = 0;
     HostName name;
     std::unique_ptr<ServerPool> pool;
-    CallQueue queue;
-    std::map<CallId, TimePoint> waiting;  ///< Arrival times of the queued calls.
+    admission::CallQueue queue;
+    std::map<admission::CallId, TimePoint> waiting;  ///< Arrival times of the queued calls.
     std::map<ServerName, TimePoint> reported;
     std::map<ServerName, TimePoint> checks;
   };
@@ -81,7 +81,7 @@
   Duration DelayTo(const Host& host, const Server& server) const;
   void RunServers();
   void Arrive(Host& host);
-  bool Dispatch(Host& host, CallId call, TimePoint arrived);
+  bool Dispatch(Host& host, TimePoint arrived);
   void DispatchQueued(Host& host);
   void Check(std::size_t index);
   void SendNews(std::size_t index, bool remote);
