--- a/src/libgateway/admission.cc
+++ b/src/libadmission/wait_policy.cc
@@ -1,13 +1,11 @@
-#include "libgateway/admission.h"
+#include "libadmission/wait_policy.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace mulberry::gateway {
+namespace mulberry::admission {
 namespace {
 
-/// Window over which the dispatch rate is measured.
-constexpr Duration kRateWindow = std::chrono::milliseconds(500);
 /// Fraction of the time between target and deadline for which a queued request still waits after it
 /// can no longer meet its target: a late answer is better than none.
 constexpr double kLateWaitFraction = 0.2;
@@ -17,24 +15,15 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 
+/// Fraction of the time left that callers are willing to wait, with some margin for the way back.
+constexpr double kHonouredFraction = 0.3;
+
 Duration Scale(Duration duration, double factor) {
   return Duration(std::llround(static_cast<double>(duration.count()) * factor));
 }
 
 }  // namespace
 
-void DispatchRate::OnDispatch(TimePoint now) {
-  dispatches_.push_back(now);
-  while (dispatches_.front() < now - kRateWindow) dispatches_.pop_front();
-}
-
-double DispatchRate::PerSecond(double min_rate, TimePoint now) const {
-  const auto recent = std::count_if(dispatches_.begin(), dispatches_.end(),
-                                    [&](TimePoint at) { return at >= now - kRateWindow; });
-  const double window = std::chrono::duration<double>(kRateWindow).count();
-  return std::max(min_rate, static_cast<double>(recent) / window);
-}
-
 Duration ExpectedWait(const QueuePosition& position) {
   const double rate = std::max(position.rate, 1e-3);
   const auto wait = std::chrono::duration<double>((static_cast<double>(position.ahead) + 1) / rate);
@@ -45,6 +34,10 @@
   return now + Scale(service_time, kMinServiceFraction) <= target_time;
 }
 
+TimePoint LastStart(TimePoint deadline, Duration service_time) {
+  return deadline - Scale(service_time, kMinServiceFraction);
+}
+
 bool ShouldQueue(const QueuePosition& position, TimePoint now) {
   const TimePoint start = now + ExpectedWait(position);
   return CanMeetTarget(position.target_time, position.service_time, start);
@@ -63,4 +56,12 @@
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
-}  // namespace mulberry::gateway
+Duration RetryAfterWithin(const QueuePosition& position, double random, TimePoint now) {
+  const Duration longest =
+      std::clamp(Scale(position.deadline - now, kHonouredFraction), kMinRetryAfter, kMaxRetryAfter);
+  const Duration half_wait = std::max(kMinRetryAfter, Scale(ExpectedWait(position), 0.5));
+  const Duration shortest = std::min(half_wait, Scale(longest, 0.5));
+  return shortest + Scale(longest - shortest, random);
+}
+
+}  // namespace mulberry::admission
--- a/src/libgateway/fleet_view.h
+++ b/src/libgateway/fleet_view.h
@@ -35,6 +35,23 @@
   std::uint32_t count = 0;  ///< Zero when the host is not advertised.
 };
 
+/// Hosts to ask for a proof that the configuration is the newest.
+struct ProofSources {
+  /// Of all alive hosts that can reach the store, this one ranks first: the others ask it.
+  bool self_is_first = false;
+  /// Peer addresses of the other alive hosts: those that can reach the store, then the rest, each
+  /// by rank.
+  std::vector<std::string> peers;
+};
+
+/// An alive host, see FleetView::FirstRanked.
+struct RankedHost {
+  HostName host;
+  std::string peer_address;
+  bool is_self = false;
+  StartId start;  ///< Not set for this host.
+};
+
 struct FleetOptions {
   HostRecord self;
   std::string self_caller_address;
@@ -98,10 +115,23 @@
   bool IsStoreReader(TimePoint now) const;
   /// True when no host of this host's reader group can reach the store.
   bool IsStoreUnreachable(TimePoint now) const;
+  ProofSources FindProofSources(TimePoint now) const;
   /// Addresses of the hosts of this host's reader group, for which it may have to read.
   std::vector<std::string> StoreUpdateTargets() const;
+  /// Up to `count` alive hosts of all data centres in order of rank: those that reach the store, or
+  /// all if none does.
+  std::vector<RankedHost> FirstRanked(std::size_t count, TimePoint now) const;
   /// True when this host would be advertised even if every registered host were alive.
   bool IsAdvertisedByDefault() const;
+  /// Number of such hosts over all data centres.
+  std::size_t DefaultAdvertisedCount() const;
+  /// The registered host that ranks first in each data centre, alive or not; this host's own data
+  /// centre comes first, the others by name.
+  std::vector<HostRecord> FirstInRank() const;
+  /// False when this host may be cut off, so that its configuration may be outdated: neither it nor
+  /// a host that it hears reaches the store, and fewer than half of the hosts that are first in
+  /// rank are heard. If the store is down for all, the latter are.
+  bool HasRecentContact(TimePoint now) const;
 
  private:
   struct Peer {
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "libgateway/http_writer.h"
 #include "libgateway/response_classifier.h"
 
 namespace mulberry::gateway {
@@ -34,12 +33,20 @@
 /// requests, take about this long.
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(200);
 
+/// Weight of a new sample in the mean bytes of a route.
+constexpr double kBytesSmoothing = 1.0 / 16;
+
 /// Bytes of an unusable header that are logged.
 constexpr std::size_t kMaxLoggedHeader = 64;
 
+/// Retry-After when a token didn't come in time, though lenders may have some; several round trips.
+constexpr Duration kCapRetryAfter = std::chrono::milliseconds(50);
+
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
+constexpr int kStatusUnauthorized = 401;
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -84,6 +91,13 @@
   calls_by_exchange_[exchange] = call->id;
   calls_.emplace(call->id, std::move(call));
   const CallId id = admitted.id;
+  if (admitted.proof_wait_until) {
+    waiting_for_proof_.insert(id);
+    SetTimer(admitted);
+    return;
+  }
+  OnWorkspaceKnown(admitted);
+  EnterQueue(admitted, arrived);
   TryDispatch(admitted, false, arrived);
   EraseIfDone(id);
 }
@@ -107,6 +121,8 @@
     Refuse(call.exchange, kStatusNotFound, "no_route", call.request_id, kRefusalRetryAfter);
     return false;
   }
+  call.priority = call.route->priority;
+  if (!AdmitKey(call)) return false;
   call.service = traffic_splitter_.Next(*call.route);
   Duration limit = call.route->timeout;
   if (const std::string* left =
@@ -127,9 +143,95 @@
   auto [budget, is_new] = retry_budgets_.try_emplace(call.service, deps_.retries);
   if (is_new) budget->second.SetSlackShare(slack_share_);
   budget->second.OnRequest(call.arrived);
+  if (deps_.rollout != nullptr) deps_.rollout->OnRequest(call.service);
   return true;
 }
 
+/// Checks the call's key. Returns true when the call is admitted or waits for a proof.
+bool Forwarder::AdmitKey(Call& call) {
+  const TimePoint now = MonotonicClock::now();
+  const KeyDecision decision =
+      key_gate_.Check(call.request.headers, *call.route, call.arrived, true, now);
+  AdoptWorkspace(call, decision);
+  if (decision.verdict == KeyVerdict::kAdmitted) return true;
+  if (decision.verdict == KeyVerdict::kWait) {
+    call.proof_wait_until = now + ProofWait(*call.route);
+    return true;
+  }
+  RefuseKey(call, decision, now);
+  return false;
+}
+
+void Forwarder::AdoptWorkspace(Call& call, const KeyDecision& decision) {
+  call.workspace.in_use = call.workspace.in_use || key_gate_.active();
+  if (decision.workspace == nullptr) return;
+  call.workspace.name = decision.workspace->name;
+  // A queue finds a call by its priority.
+  if (!call.queued) call.priority = decision.workspace->priority.value_or(call.route->priority);
+}
+
+void Forwarder::OnKeysChanged(TimePoint now) {
+  const std::set<CallId> waiting = waiting_for_proof_;
+  for (const CallId id : waiting) DecideWaiting(id, true, now);
+}
+
+void Forwarder::DecideWaiting(CallId id, bool may_wait, TimePoint now) {
+  Call* call = Find(id);
+  if (call == nullptr || call->answered) {
+    waiting_for_proof_.erase(id);
+    return;
+  }
+  const KeyDecision decision =
+      key_gate_.Check(call->request.headers, *call->route, call->arrived, may_wait, now);
+  if (decision.verdict == KeyVerdict::kWait) return;
+  waiting_for_proof_.erase(id);
+  call->proof_wait_until.reset();
+  if (decision.verdict == KeyVerdict::kAdmitted) {
+    AdoptWorkspace(*call, decision);
+    OnWorkspaceKnown(*call);
+    EnterQueue(*call, now);
+    TryDispatch(*call, false, now);
+  } else {
+    call->answered = true;
+    calls_by_exchange_.erase(call->exchange);
+    RefuseKey(*call, decision, now);
+  }
+  EraseIfDone(id);
+}
+
+void Forwarder::RefuseKey(const Call& call, const KeyDecision& decision, TimePoint now) {
+  const int status =
+      decision.verdict == KeyVerdict::kUnauthorized ? kStatusUnauthorized : kStatusUnavailable;
+  const auto as_of = key_gate_.proof().as_of();
+  LogEvent(LogLevel::kInfo, "key_refused",
+           {{"request", call.request_id},
+            {"route", call.route->name},
+            {"reason", decision.reason},
+            {"key_digest", decision.key_digest},
+            {"version", deps_.config.version().value()},
+            {"proof_age_ms", as_of ? ToMilliseconds(now - *as_of) : -1},
+            {"held_ms", ToMilliseconds(now - call.arrived)}});
+  Refuse(call.exchange, status, decision.reason, call.request_id, decision.retry_after);
+}
+
+/// Checks the call's key again before it is sent. Returns false when it must not be sent; fails the
+/// call then, unless an attempt is running.
+bool Forwarder::IsKeyStillValid(Call& call, bool hedge, TimePoint now) {
+  if (!key_gate_.active()) return true;
+  const KeyDecision decision =
+      key_gate_.Recheck(call.request.headers, *call.route, MonotonicClock::now());
+  AdoptWorkspace(call, decision);
+  if (decision.verdict == KeyVerdict::kAdmitted) return true;
+  if (hedge) return false;
+  LogEvent(LogLevel::kInfo, "key_lapsed",
+           {{"request", call.request_id},
+            {"reason", decision.reason},
+            {"key_digest", decision.key_digest},
+            {"workspace", call.workspace.name.str()}});
+  FailCall(call, FailureCause::kOther, decision.reason, decision.retry_after, now);
+  return false;
+}
+
 void Forwarder::OnMemoryFull(ExchangeId exchange, const HttpMessage& head) {
   const std::string* id = FindHeader(head.headers, deps_.adapter.headers().request_id);
   Refuse(exchange, kStatusUnavailable, "memory_full", id == nullptr ? "" : *id, kRefusalRetryAfter);
@@ -163,14 +265,21 @@
 }
 
 void Forwarder::TryDispatch(Call& call, bool hedge, TimePoint now) {
+  if (!IsKeyStillValid(call, hedge, now)) return;
   if (IsTooLate(call, now)) {
     if (!hedge) {
       FailCall(call, FailureCause::kTimeout, "too_late", RetryAfterFor(call, now), now);
     }
     return;
   }
+  if (!CheckCap(call, hedge, now)) return;
+  SelectionRequest request{call.service, call.tried, call.state.idempotent, hedge};
+  request.queued = queues_[call.service].size();
+  request.bytes = route_bytes_[call.route->name];
   const auto choice =
-      deps_.pool.Select({call.service, call.tried, call.state.idempotent, hedge}, now);
+      deps_.rollout == nullptr
+          ? deps_.pool.Select(request, now)
+          : deps_.rollout->Select(request, call.route->name, call.state.attempts == 0, now);
   if (const auto* chosen = std::get_if<Selection>(&choice)) {
     if (hedge && !retry_budgets_.at(call.service).TryConsume(true, now)) return;
     Dequeue(call);
@@ -180,6 +289,68 @@
   if (!hedge) Enqueue(call, std::get<NoServerReason>(choice), now);
 }
 
+/// True when the call's workspace has a token for a send. Otherwise the call waits for one, or it
+/// fails because none can come soon; a hedge is only not sent.
+bool Forwarder::CheckCap(Call& call, bool hedge, TimePoint now) {
+  const WorkspaceName* capped = CappedWorkspace(call);
+  if (capped == nullptr) return true;
+  const workspace::CapDecision decision = caps_->Decide(*capped);
+  if (decision.step == workspace::CapDecision::Step::kSend) return true;
+  if (hedge) return false;
+  if (decision.step == workspace::CapDecision::Step::kWait) {
+    WaitForCap(call);
+  } else {
+    FailOverCap(call, decision.retry_after, now);
+  }
+  return false;
+}
+
+const WorkspaceName* Forwarder::CappedWorkspace(const Call& call) const {
+  return caps_ == nullptr || call.workspace.name.empty() ? nullptr : &call.workspace.name;
+}
+
+/// Counts the call in the demand of its workspace.
+void Forwarder::OnWorkspaceKnown(const Call& call) {
+  if (const WorkspaceName* capped = CappedWorkspace(call)) caps_->OnArrival(*capped);
+}
+
+bool Forwarder::HasCapToken(const Call& call) const {
+  const WorkspaceName* capped = CappedWorkspace(call);
+  return capped == nullptr || caps_->Decide(*capped).step == workspace::CapDecision::Step::kSend;
+}
+
+void Forwarder::WaitForCap(Call& call) {
+  Dequeue(call);
+  call.last_wait_reason = "cap";
+  SetTimer(call);
+  caps_->Wait(*CappedWorkspace(call), call.id);
+}
+
+void Forwarder::FailOverCap(Call& call, Duration retry_after, TimePoint now) {
+  caps_->OnRefused(*CappedWorkspace(call), retry_after);
+  FailCall(call, FailureCause::kOverCap, "over_cap", retry_after, now);
+}
+
+void Forwarder::OnCapWait(CallId id, bool expired) {
+  Call* call = Find(id);
+  if (call == nullptr || call->answered) return;
+  const TimePoint now = MonotonicClock::now();
+  if (expired && !HasCapToken(*call)) {
+    FailOverCap(*call, kCapRetryAfter, now);
+  } else {
+    TryDispatch(*call, false, now);
+  }
+  EraseIfDone(id);
+}
+
+void Forwarder::EnterQueue(const Call& call, TimePoint now) {
+  const bool fair = !deps_.config.config().workspaces.empty();
+  admission::CallQueue& queue = queues_[call.service];
+  queue.SetFairShares(fair);
+  queue.OnArrival(ToQueuedCall(call), now);
+  if (fair && !queue.empty()) DispatchQueued();
+}
+
 /// Queues a call, or fails it at once when it would be served too late.
 void Forwarder::Enqueue(Call& call, NoServerReason reason, TimePoint now) {
   call.last_wait_reason = NoServerReasonName(reason);
@@ -218,14 +389,16 @@
   for (auto& [service, queue] : queues_) {
     while (!queue.empty()) {
       const std::size_t before = queue.size();
-      const QueuedCall next = queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now);
-      Call* call = Find(next.id);
+      const admission::QueuedCall next =
+          queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now);
+      const CallId id(next.id.value());
+      Call* call = Find(id);
       if (call == nullptr) {
         queue.Remove(next);
         continue;
       }
       TryDispatch(*call, false, now);
-      EraseIfDone(next.id);
+      EraseIfDone(id);
       if (queue.size() == before) break;
     }
   }
@@ -242,6 +415,11 @@
 }
 
 void Forwarder::Send(Call& call, const Selection& choice, bool hedge, TimePoint now) {
+  const WorkspaceName* capped = CappedWorkspace(call);
+  if (capped != nullptr && !caps_->Take(*capped)) {
+    if (!hedge) WaitForCap(call);
+    return;
+  }
   auto link = ConnectionFor(call, choice.address);
   if (!link) {
     LogEvent(LogLevel::kError, "server_address_unusable",
@@ -252,14 +430,18 @@
   }
   Attempt attempt{AttemptId(next_attempt_++), choice.id, choice.address,
                   deps_.pool.OnSent(choice.id, now), link.value()};
+  if (deps_.rollout != nullptr) {
+    deps_.rollout->OnSent(call.service, call.route->name, attempt.context);
+  }
+  if (*choice.spill_reason != '\0') deps_.metrics.OnSpill(call.service, choice.spill_reason);
   ++call.state.attempts;
   ++call.state.running;
   call.tried.insert(choice.id);
   call.tried_addresses.insert(choice.address);
-  queues_[call.service].OnDispatch(now);
+  queues_[call.service].OnDispatch(ToQueuedCall(call), now);
   ExchangeRequest request;
   request.head = WriteServerRequestHead(call.request, call.body->size(), deps_.adapter.headers(),
-                                        choice.id, call.deadline - now);
+                                        choice.id, call.deadline - now, call.workspace);
   if (!call.body->empty()) request.body = call.body;
   request.is_head = call.request.method == "HEAD";
   request.id_header = deps_.adapter.headers().request_id;
@@ -303,6 +485,7 @@
   }
   links_.Release(attempt.address, attempt.link);
   deps_.pool.OnEnd(attempt.server, end, attempt.context, now);
+  RecordForRollout(*call, attempt, end, now);
   RecordLoadReport(attempt.server, end, answer.response, now);
   RecordLeaving(attempt.server, end, answer.response);
   RecordPause(attempt.server, end, answer.response, now);
@@ -338,6 +521,12 @@
             {"write_pending", answer.write_pending}});
 }
 
+void Forwarder::RecordForRollout(const Call& call, const Attempt& attempt, AttemptOutcome end,
+                                 TimePoint now) {
+  if (deps_.rollout == nullptr) return;
+  deps_.rollout->OnEnd({call.service, call.route->name, attempt.server}, attempt.context, end, now);
+}
+
 void Forwarder::RecordLoadReport(const ServerName& server, AttemptOutcome end,
                                  const HttpMessage& message, TimePoint now) {
   const std::string* load = FindHeader(message.headers, deps_.adapter.headers().load);
@@ -382,7 +571,7 @@
       return;
     case NextStep::kRetry:
       // The server's own error response tells the caller more than one from this host.
-      if (end == AttemptOutcome::kServerFailure && IsTooLate(call, now)) {
+      if (end == AttemptOutcome::kServerFailure && (IsTooLate(call, now) || !HasCapToken(call))) {
         Relay(call, message, attempt, now);
         return;
       }
@@ -412,6 +601,9 @@
     FailCall(call, FailureCause::kOther, "server_status", Duration::zero(), now);
     return;
   }
+  double& mean_bytes = route_bytes_[call.route->name];
+  mean_bytes +=
+      kBytesSmoothing * (static_cast<double>(call.body->size() + message.body.size()) - mean_bytes);
   deps_.metrics.OnResponse(call.service, message.status, now - call.arrived);
   LogEvent(LogLevel::kInfo, "answered",
            {{"request", call.request_id},
@@ -430,7 +622,9 @@
 void Forwarder::FailCall(Call& call, FailureCause cause, std::string_view reason,
                          Duration retry_after, TimePoint now) {
   const bool may_have_run = call.state.may_have_run || call.state.running > 0;
-  const int status = FailureStatus(may_have_run, cause == FailureCause::kTimeout);
+  const bool over_cap = cause == FailureCause::kOverCap && !may_have_run;
+  const int status = over_cap ? kStatusTooManyRequests
+                              : FailureStatus(may_have_run, cause == FailureCause::kTimeout);
   deps_.metrics.OnRefusal(reason);
   deps_.metrics.OnResponse(call.service, status, now - call.arrived);
   LogEvent(LogLevel::kInfo, "failed",
@@ -438,6 +632,7 @@
             {"route", call.route->name},
             {"version", deps_.config.version().value()},
             {"service", call.service.str()},
+            {"workspace", call.workspace.name.str()},
             {"status", status},
             {"reason", std::string(reason)},
             {"waited_for", call.last_wait_reason},
@@ -447,7 +642,7 @@
             {"left_ms", ToMilliseconds(call.deadline - now)},
             {"attempts", call.state.attempts}});
   std::optional<Duration> retry_after_header;
-  if (status == kStatusUnavailable) retry_after_header = retry_after;
+  if (over_cap || status == kStatusUnavailable) retry_after_header = retry_after;
   Reply(
       call,
       WriteLocalResponseHead(status, retry_after_header, call.request_id, deps_.adapter.headers()),
@@ -484,6 +679,7 @@
   for (Attempt& attempt : std::exchange(call.running, {})) {
     attempt.link->Close();
     deps_.pool.OnEnd(attempt.server, end, attempt.context, now);
+    RecordForRollout(call, attempt, end, now);
     deps_.metrics.OnAttempt(AttemptOutcomeName(end), now - attempt.context.sent);
   }
   call.state.running = 0;
@@ -497,17 +693,24 @@
   calls_.erase(found);
 }
 
-QueuedCall Forwarder::ToQueuedCall(const Call& call) {
-  return {call.id, call.route->priority, call.arrived + call.route->latency_target, call.deadline};
-}
-
-QueuePosition Forwarder::PositionOf(const Call& call, TimePoint now) {
-  return queues_[call.service].PositionOf(
-      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
+admission::QueuedCall Forwarder::ToQueuedCall(const Call& call) {
+  // Callers that repeat a refused request state how much of their time limit is left.
+  const TimePoint first_arrived = std::min(call.arrived, call.deadline - call.route->timeout);
+  std::optional<WorkspaceName> workspace;
+  if (!call.workspace.name.empty()) workspace = call.workspace.name;
+  return {admission::CallId(call.id.value()),
+          call.priority,
+          call.arrived + call.route->latency_target,
+          call.deadline,
+          workspace,
+          call.arrived,
+          first_arrived};
 }
 
 Duration Forwarder::RetryAfterFor(const Call& call, TimePoint now) {
-  return RetryAfter(PositionOf(call, now), std::uniform_real_distribution<double>(0, 1)(random_));
+  return queues_[call.service].RetryAfterFor(
+      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime),
+      std::uniform_real_distribution<double>(0, 1)(random_), now);
 }
 
 Forwarder::Call* Forwarder::Find(CallId id) {
@@ -520,9 +723,10 @@
   if (call.answered) due = call.deadline + kLateAttemptTimeout;
   if (!call.answered && call.running.empty()) due = call.deadline;
   if (call.queued) {
-    due = std::min(due, QueueDeadline(PositionOf(call, MonotonicClock::now())));
+    due = std::min(due, FailTimeOf(call, MonotonicClock::now()));
   }
   due = std::min(due, call.hedge_at);
+  if (call.proof_wait_until) due = std::min(due, *call.proof_wait_until);
   timers_.Set(call.id, due);
 }
 
@@ -535,6 +739,10 @@
     EraseIfDone(id);
     return;
   }
+  if (call.proof_wait_until) {
+    DecideWaiting(id, false, now);
+    return;
+  }
   if (call.hedge_at <= now) {
     call.hedge_at = TimePoint::max();
     SetTimer(call);
@@ -544,14 +752,33 @@
     }
     return;
   }
+  if (KeepsWaiting(call, now)) {
+    SetTimer(call);
+    return;
+  }
   if (call.running.empty()) {
-    FailCall(call, FailureCause::kTimeout, "queue_time_over", RetryAfterFor(call, now), now);
+    const bool overtaken =
+        call.queued && queues_[call.service].has_fair_shares() && FailTimeOf(call, now) > now;
+    FailCall(call, FailureCause::kTimeout, overtaken ? "overtaken_in_queue" : "queue_time_over",
+             RetryAfterFor(call, now), now);
   } else {
     FailCall(call, FailureCause::kTimeout, "no_answer_in_time", Duration::zero(), now);
   }
   EraseIfDone(id);
 }
 
+bool Forwarder::KeepsWaiting(const Call& call, TimePoint now) {
+  const admission::CallQueue& queue = queues_[call.service];
+  if (!call.queued || !queue.has_fair_shares()) return false;
+  const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
+  return FailTimeOf(call, now) > now && queue.ShouldKeep(ToQueuedCall(call), usual_time, now);
+}
+
+TimePoint Forwarder::FailTimeOf(const Call& call, TimePoint now) {
+  return queues_[call.service].FailTime(
+      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
+}
+
 void Forwarder::Sweep(TimePoint now) { links_.Sweep(now); }
 
 void Forwarder::FailAll(TimePoint now) {
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -12,15 +12,19 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libadmission/admission.h"
 #include "libgateway/active_config.h"
-#include "libgateway/call_queue.h"
 #include "libgateway/call_timers.h"
 #include "libgateway/caller_server.h"
+#include "libgateway/cap_gate.h"
 #include "libgateway/connection_pool.h"
 #include "libgateway/gateway_metrics.h"
+#include "libgateway/http_writer.h"
+#include "libgateway/key_gate.h"
 #include "libgateway/platform_adapter.h"
 #include "libgateway/retry_budget.h"
 #include "libgateway/retry_policy.h"
+#include "libgateway/rollout_controller.h"
 #include "libgateway/server_pool.h"
 #include "libgateway/shutdown_policy.h"
 
@@ -40,6 +44,8 @@
     /// For the bodies of responses.
     MemoryBudget& memory;
     RetryLimits retries;
+    /// Null: versions of servers are ignored.
+    RolloutController* rollout = nullptr;
   };
 
   explicit Forwarder(Dependencies deps);
@@ -53,10 +59,20 @@
   /// From now on, refuses requests that might not be answered before the host exits.
   void SetShutdown(const ShutdownPolicy& policy) { shutdown_ = policy; }
 
+  /// Sets what enforces the rate limits of workspaces; without it, none are enforced.
+  void SetCaps(CapGate* caps) { caps_ = caps; }
+  /// Decides again about a call that waits for a token; `expired`: it must not wait any longer.
+  void OnCapWait(CallId id, bool expired);
+
   void OnRequest(ExchangeId exchange, HttpMessage request, TimePoint arrived) override;
   void OnDisconnected(ExchangeId exchange) override;
   void OnMemoryFull(ExchangeId exchange, const HttpMessage& head) override;
 
+  KeyGate& key_gate() { return key_gate_; }
+  /// Decides again about the calls that wait for a proof of freshness, after the proof or the
+  /// configuration has changed.
+  void OnKeysChanged(TimePoint now);
+
   /// Dispatches queued calls again after capacity may have become available.
   void DispatchQueued();
   void Sweep(TimePoint now);
@@ -88,6 +104,10 @@
     ServiceName service;
     TimePoint arrived;
     TimePoint deadline;
+    std::uint32_t priority = 0;  ///< The workspace's if it has one, else the route's.
+    WorkspaceHeaders workspace;
+    /// The call waits until then for a proof that the configuration is the newest.
+    std::optional<TimePoint> proof_wait_until;
     CallState state;
     std::set<ServerName> tried;
     std::set<std::string> tried_addresses;
@@ -97,11 +117,28 @@
     bool queued = false;
     const char* last_wait_reason = "";
   };
-  enum class FailureCause { kTimeout, kOther };
+  enum class FailureCause { kTimeout, kOverCap, kOther };
   Call* Find(CallId id);
   bool Admit(Call& call);
+  bool AdmitKey(Call& call);
+  void AdoptWorkspace(Call& call, const KeyDecision& decision);
+  void DecideWaiting(CallId id, bool may_wait, TimePoint now);
+  void RefuseKey(const Call& call, const KeyDecision& decision, TimePoint now);
+  bool IsKeyStillValid(Call& call, bool hedge, TimePoint now);
   bool IsTooLate(const Call& call, TimePoint now) const;
   void TryDispatch(Call& call, bool hedge, TimePoint now);
+  bool CheckCap(Call& call, bool hedge, TimePoint now);
+  /// The call's workspace if rate limits are enforced, else null.
+  const WorkspaceName* CappedWorkspace(const Call& call) const;
+  void OnWorkspaceKnown(const Call& call);
+  bool HasCapToken(const Call& call) const;
+  void WaitForCap(Call& call);
+  void FailOverCap(Call& call, Duration retry_after, TimePoint now);
+  /// Counts the call's arrival and lets those that already wait go first.
+  void EnterQueue(const Call& call, TimePoint now);
+  /// True when a queued call whose timer expired may wait on.
+  bool KeepsWaiting(const Call& call, TimePoint now);
+  TimePoint FailTimeOf(const Call& call, TimePoint now);
   void Enqueue(Call& call, NoServerReason reason, TimePoint now);
   void Dequeue(Call& call);
   Result<std::shared_ptr<HttpClientConnection>> ConnectionFor(const Call& call,
@@ -110,6 +147,8 @@
   void OnAttemptEnd(CallId id, AttemptId attempt, ExchangeResult answer);
   void LogAttemptFailure(const Call& call, const Attempt& attempt, AttemptOutcome end,
                          const ExchangeResult& answer, TimePoint now) const;
+  void RecordForRollout(const Call& call, const Attempt& attempt, AttemptOutcome end,
+                        TimePoint now);
   void RecordLoadReport(const ServerName& server, AttemptOutcome end, const HttpMessage& message,
                         TimePoint now);
   void RecordLeaving(const ServerName& server, AttemptOutcome end, const HttpMessage& message);
@@ -125,15 +164,18 @@
               const std::string& request_id, Duration retry_after);
   void CancelAttempts(Call& call, AttemptOutcome end, TimePoint now);
   void EraseIfDone(CallId id);
-  static QueuedCall ToQueuedCall(const Call& call);
-  QueuePosition PositionOf(const Call& call, TimePoint now);
+  static admission::QueuedCall ToQueuedCall(const Call& call);
   Duration RetryAfterFor(const Call& call, TimePoint now);
 
   void SetTimer(Call& call);
   void OnCallTimer(CallId id, TimePoint now);
 
   Dependencies deps_;
+  KeyGate key_gate_{deps_.config};
+  /// Calls with Call::proof_wait_until.
+  std::set<CallId> waiting_for_proof_;
   CallerServer* server_ = nullptr;
+  CapGate* caps_ = nullptr;
   ConnectionPool links_;
   TrafficSplitter traffic_splitter_{std::random_device{}()};
   std::map<ServiceName, RetryBudget> retry_budgets_;
@@ -141,7 +183,9 @@
   std::optional<ShutdownPolicy> shutdown_;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   std::unordered_map<ExchangeId, CallId> calls_by_exchange_;
-  std::map<ServiceName, CallQueue> queues_;
+  std::map<ServiceName, admission::CallQueue> queues_;
+  /// Mean bytes of a request and its response by route, for the price of leaving the data centre.
+  std::map<std::string, double> route_bytes_;
   std::minstd_rand random_{std::random_device{}()};
   CallTimers timers_;
   std::uint64_t next_call_ = 1;
--- a/src/libgateway/gateway_metrics.cc
+++ b/src/libgateway/gateway_metrics.cc
@@ -31,6 +31,16 @@
       .Observe(took);
 }
 
+void GatewayMetrics::OnVersionAttempt(const ServiceName& service, const ServerVersion& version,
+                                      std::string_view end) {
+  metrics_
+      .CounterFor("mulberry_version_attempts_total", "Sends by version of the server and their end",
+                  {{"service", service.str()},
+                   {"server_version", version.str()},
+                   {"end", std::string(end)}})
+      .Add();
+}
+
 void GatewayMetrics::OnRetry(std::string_view reason) {
   metrics_
       .CounterFor("mulberry_retries_total", "Further sends of a request",
@@ -45,6 +55,32 @@
       .Add();
 }
 
+void GatewayMetrics::OnCapRefusal(const WorkspaceName& workspace) {
+  metrics_
+      .CounterFor("mulberry_cap_refusals_total", "Requests over their workspace's rate limit",
+                  {{"workspace", workspace.str()}})
+      .Add();
+}
+
+void GatewayMetrics::OnCapTokens(std::string_view direction, std::uint64_t count) {
+  metrics_
+      .CounterFor("mulberry_cap_tokens_total",
+                  "Tokens of rate limits borrowed from or lent to hosts",
+                  {{"direction", std::string(direction)}})
+      .Add(count);
+}
+
+void GatewayMetrics::OnCapDatagram() {
+  metrics_.CounterFor("mulberry_cap_datagrams_total", "Datagrams sent about tokens").Add();
+}
+
+void GatewayMetrics::OnSpill(const ServiceName& service, std::string_view reason) {
+  metrics_
+      .CounterFor("mulberry_spilled_total", "Requests sent to another data centre",
+                  {{"service", service.str()}, {"reason", std::string(reason)}})
+      .Add();
+}
+
 void GatewayMetrics::OnCallerDisconnected() {
   metrics_.CounterFor("mulberry_callers_gone_total", "Requests whose caller left").Add();
 }
--- a/src/libgateway/gateway_node.cc
+++ b/src/libgateway/gateway_node.cc
@@ -82,6 +82,8 @@
   options.random_seed = start.value();
   options.cold_overage = settings.cold_overage;
   options.cold_slack = settings.cold_slack;
+  options.spill = settings.spill;
+  options.spill_costs = settings.spill_costs;
   return options;
 }
 
@@ -117,7 +119,15 @@
           },
           [this](StoreEra era) { OnStoreEra(era); }),
       peer_channel_(io, [this](const PeerMessage& message) { OnPeerMessage(message); }),
-      forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries}),
+      rollout_(MakeRolloutController()),
+      cap_sync_({io, fleet_, peer_channel_, metrics_, settings.host, start, settings.first_start,
+                 [this] { return SenderOnly(); }}),
+      forwarder_({io, adapter, config_, pool_, metrics_, memory_, settings.retries,
+                  rollout_ ? &*rollout_ : nullptr}),
+      proof_exchange_({forwarder_.key_gate(), fleet_, store_view_, peer_channel_,
+                       [this] { return OwnHeartbeat(); },
+                       [this] { forwarder_.OnKeysChanged(MonotonicClock::now()); },
+                       [this](const HostHeartbeat& host) { SendOperatorRecords(host); }}),
       health_checker_(io, adapter, pool_, metrics_),
       load_report_sync_({io, pool_, fleet_, forwarder_, health_checker_, peer_channel_,
                          [this] { return OwnHeartbeat(); }}),
@@ -134,10 +144,27 @@
       heartbeat_timer_(io),
       exit_timer_(io) {
   forwarder_.SetServer(&caller_server_);
+  forwarder_.key_gate().SetLimits(settings.revocation);
+  forwarder_.SetCaps(&cap_sync_);
+  cap_sync_.SetLimits(settings.caps);
+  cap_sync_.SetWaitCallback(
+      [this](CallId call, bool expired) { forwarder_.OnCapWait(call, expired); });
 }
 
 GatewayNode::~GatewayNode() = default;
 
+std::optional<RolloutController> GatewayNode::MakeRolloutController() {
+  if (!settings_.rollout) return std::nullopt;
+  return std::optional<RolloutController>(
+      std::in_place,
+      RolloutController::Parts{adapter_, pool_, fleet_, store_, metrics_, settings_.host, start_,
+                               *settings_.rollout,
+                               [this](PeerMessage message, const std::string& address) {
+                                 message.heartbeat = OwnHeartbeat();
+                                 peer_channel_.Send(message, {address});
+                               }});
+}
+
 Result<void> GatewayNode::Start() {
   const auto callers = ParseEndpoint(settings_.callers);
   if (!callers) return callers.error();
@@ -164,6 +191,7 @@
     ApplyConfig(std::move(config->config), now);
     return;
   }
+  if (rollout_) rollout_->OnOperatorUpdate(update, now);
   const auto* out = std::get_if<DataCentreOutUpdate>(&update);
   if (out == nullptr) return;
   LogEvent(LogLevel::kInfo, out->out ? "data_centre_out" : "data_centre_back",
@@ -192,8 +220,12 @@
   LogEvent(LogLevel::kInfo, "configuration_in_force",
            {{"version", offered.value()}, {"routes", config_.config().routes.size()}});
   pool_.SetServices(config_.config().services);
+  cap_sync_.SetWorkspaces(config_.config().workspaces);
   caller_server_.SetLimits(config_.config().limits);
+  forwarder_.key_gate().proof().OnVersion(workspace::DirectoryVersion(offered.value()));
+  forwarder_.OnKeysChanged(now);
   UpdateFleetState(now);
+  cap_sync_.UpdateRoles(host_list_.complete());
   forwarder_.DispatchQueued();
 }
 
@@ -214,6 +246,7 @@
     LogEvent(LogLevel::kInfo, "server_entry",
              {{"server", entry.id.str()},
               {"service", entry.service.str()},
+              {"version", entry.version.str()},
               {"state", after},
               {"before", before}});
   }
@@ -223,11 +256,14 @@
 void GatewayNode::OnServerRemoved(const ServerName& id) { pool_.Remove(id); }
 
 void GatewayNode::OnStoreEra(StoreEra era) {
+  forwarder_.key_gate().proof().OnEra(era, MonotonicClock::now());
   store_view_.OnEra(era, MonotonicClock::now());
   host_list_.OnEra(era);
+  if (rollout_) rollout_->OnStoreEra(era);
 }
 
 void GatewayNode::OnStoreUpdated() {
+  if (rollout_ && store_view_.complete()) rollout_->OnServersChanged();
   forwarder_.DispatchQueued();
   CheckReady();
 }
@@ -250,18 +286,24 @@
   SendHeartbeatNow();
 }
 
+void GatewayNode::OnOperatorTopicEnd(TimePoint sent) {
+  proof_exchange_.OnOwnRead(sent, MonotonicClock::now());
+}
+
 void GatewayNode::OnUpdateForPeers(PeerMessage message) {
   message.heartbeat = OwnHeartbeat();
   peer_channel_.Send(message, fleet_.StoreUpdateTargets());
 }
 
 void GatewayNode::OnPeerMessage(const PeerMessage& message) {
+  if (cap_sync_.OnPeerMessage(message)) return;
   const TimePoint now = MonotonicClock::now();
   if (!fleet_.OnHeartbeat(message.heartbeat, now)) return;
   OnStoreEra(NewestEra(message));
   if (message.config_record) store_view_.OnPeerConfig(*message.config_record);
   if (message.server_update || message.operator_update) store_view_.OnPeerUpdate(message, now);
   if (load_report_sync_.OnPeerMessage(message, now)) forwarder_.DispatchQueued();
+  if (rollout_) rollout_->OnPeerMessage(message, now);
   const HostHeartbeat& sender = message.heartbeat;
   if (store_view_.OnPeerState({store_view_.applied_operator_position(), config_.version()},
                               {sender.operator_position, sender.version}, now)) {
@@ -271,6 +313,7 @@
     peer_channel_.Send(question, {sender.record.peer_address});
   }
   if (message.wants_operator_records) SendOperatorRecords(sender);
+  proof_exchange_.OnPeerMessage(message, now);
 }
 
 /// Sends the operators' records that another host lacks, as far as they are kept here.
@@ -290,6 +333,16 @@
   peer_channel_.Send(answer, {receiver.record.peer_address});
 }
 
+HostHeartbeat GatewayNode::SenderOnly() const {
+  HostHeartbeat sender;
+  sender.record.host = settings_.host;
+  sender.record.data_centre = settings_.data_centre;
+  sender.record.peer_address = settings_.ip + ":" + std::to_string(settings_.peer_port);
+  sender.start = start_;
+  sender.caller_address = settings_.callers;
+  return sender;
+}
+
 HostHeartbeat GatewayNode::OwnHeartbeat() const {
   HostHeartbeat heartbeat;
   heartbeat.record = MakeHostRecord(settings_);
@@ -361,6 +414,22 @@
   fleet_.SetLocalUsableShare(pool_.LocalUsableShare(now));
   forwarder_.SetSlackShare(1.0 / static_cast<double>(fleet_.HostCount()));
   pool_.SetColdShare(ColdShare(now));
+  pool_.SetSenders(Senders(now));
+}
+
+/// The advertised hosts in the order of their addresses, and this host's place among them. A host
+/// that is not advertised may still get requests; it counts itself as one more.
+placement::SenderPosition GatewayNode::Senders(TimePoint now) const {
+  const std::string self = MakeHostRecord(settings_).peer_address;
+  std::vector<std::string> local = fleet_.OtherAdvertisedPeers(now);
+  std::vector<std::string> all = fleet_.RemoteAdvertisedPeers(now);
+  all.insert(all.end(), local.begin(), local.end());
+  const auto rank = [&self](const std::vector<std::string>& others) {
+    return static_cast<std::uint32_t>(std::count_if(
+        others.begin(), others.end(), [&self](const std::string& other) { return other < self; }));
+  };
+  return {static_cast<std::uint32_t>(local.size() + 1), rank(local),
+          static_cast<std::uint32_t>(all.size() + 1), rank(all)};
 }
 
 /// This host's share of the request limit of a cold server in its data centre. The shares of all
@@ -379,13 +448,16 @@
   const TimePoint now = MonotonicClock::now();
   MeasureRequestRate(now);
   UpdateFleetState(now);
+  cap_sync_.UpdateRoles(host_list_.complete());
   store_view_.Tick(fleet_.IsStoreReader(now), fleet_.IsStoreUnreachable(now), now);
+  proof_exchange_.Tick(now);
   CheckReady();
   caller_server_.Sweep(now);
   readiness_server_.Sweep(now);
   directory_server_.Sweep(now);
   metrics_server_.Sweep(now);
   forwarder_.Sweep(now);
+  if (rollout_ && store_view_.complete()) rollout_->Tick(store_view_.reachable(), now);
   forwarder_.DispatchQueued();
   UpdateGauges();
   FlushLog();
@@ -399,12 +471,25 @@
 }
 
 void GatewayNode::UpdateGauges() {
+  const auto proven_as_of = forwarder_.key_gate().proof().as_of();
+  if (forwarder_.key_gate().active() && proven_as_of) {
+    metrics_.SetGauge("mulberry_proof_age_seconds",
+                      "Age of the proof that the configuration is the newest",
+                      std::chrono::duration<double>(MonotonicClock::now() - *proven_as_of).count());
+  }
   metrics_.SetGauge("mulberry_connections", "Open connections of callers",
                     static_cast<double>(caller_server_.connections()));
   metrics_.SetGauge("mulberry_calls", "Requests in work", static_cast<double>(forwarder_.calls()));
   metrics_.SetGauge("mulberry_body_bytes", "Memory reserved for bodies",
                     static_cast<double>(memory_.used()));
   metrics_.SetGauge("mulberry_servers", "Backend servers known", static_cast<double>(pool_.size()));
+  metrics_.SetGauge("mulberry_hanging_services", "Services whose servers hang when full",
+                    static_cast<double>(pool_.HangingServices()));
+  metrics_.SetGauge("mulberry_silent_requests", "Requests that full servers did not answer",
+                    static_cast<double>(pool_.silent_requests()));
+  metrics_.SetGauge("mulberry_last_resort_requests",
+                    "Requests to ejected servers because no other was left",
+                    static_cast<double>(pool_.last_resorts()));
   metrics_.SetGauge("mulberry_config_version", "Version in force",
                     static_cast<double>(config_.version().value()));
   metrics_.SetGauge("mulberry_store_calls", "Calls to the store since the start",
@@ -427,8 +512,13 @@
   settings_.retries = settings.retries;
   settings_.cold_overage = settings.cold_overage;
   settings_.cold_slack = settings.cold_slack;
+  if (rollout_ && settings.rollout) rollout_->SetLimits(*settings.rollout);
   pool_.SetColdLimit(settings.cold_overage, settings.cold_slack);
+  settings_.caps = settings.caps;
+  cap_sync_.SetLimits(settings.caps);
   forwarder_.SetRetryLimits(settings.retries);
+  settings_.revocation = settings.revocation;
+  forwarder_.key_gate().SetLimits(settings.revocation);
   if (settings.store_address != settings_.store_address) {
     settings_.store_address = settings.store_address;
     store_.SetAddress(settings.store_address);
--- a/src/libgateway/gateway_node.h
+++ b/src/libgateway/gateway_node.h
@@ -9,6 +9,7 @@
 
 #include "libgateway/active_config.h"
 #include "libgateway/caller_server.h"
+#include "libgateway/cap_sync.h"
 #include "libgateway/fleet_view.h"
 #include "libgateway/forwarder.h"
 #include "libgateway/gateway_metrics.h"
@@ -18,6 +19,8 @@
 #include "libgateway/load_report_sync.h"
 #include "libgateway/peer_channel.h"
 #include "libgateway/platform_adapter.h"
+#include "libgateway/proof_exchange.h"
+#include "libgateway/rollout_controller.h"
 #include "libgateway/server_pool.h"
 #include "libgateway/shutdown_policy.h"
 #include "libgateway/store_client.h"
@@ -56,10 +59,14 @@
   void OnStoreEra(StoreEra era) override;
   void OnStoreUpdated() override;
   void OnStoreReachable(bool reachable) override;
+  void OnOperatorTopicEnd(TimePoint sent) override;
   void OnUpdateForPeers(PeerMessage message) override;
 
   void ApplyConfig(Config config, TimePoint now);
+  std::optional<RolloutController> MakeRolloutController();
   HostHeartbeat OwnHeartbeat() const;
+  /// Names this host as the sender of a datagram that is no heartbeat.
+  HostHeartbeat SenderOnly() const;
   void MeasureRequestRate(TimePoint now);
   HttpResponse HandleReadiness(const HttpMessage& request) const;
   HttpResponse HandleAddressQuery(const HttpMessage& request) const;
@@ -72,6 +79,7 @@
   void UpdateFleetState(TimePoint now);
   bool Ready() const;
   double ColdShare(TimePoint now) const;
+  placement::SenderPosition Senders(TimePoint now) const;
   void UpdateGauges();
   void ContinueShutdown(TimePoint now);
   /// Logs how long the shutdown has lasted and what the callers' connections are doing.
@@ -92,7 +100,10 @@
   StoreView store_view_;
   HostList host_list_;
   PeerChannel peer_channel_;
+  std::optional<RolloutController> rollout_;  ///< Set where rollouts are on.
+  CapSync cap_sync_;
   Forwarder forwarder_;
+  ProofExchange proof_exchange_;
   HealthChecker health_checker_;
   LoadReportSync load_report_sync_;
   SyncHttpServer readiness_server_;
--- a/src/libgateway/peer_channel.cc
+++ b/src/libgateway/peer_channel.cc
@@ -5,6 +5,7 @@
 
 #include "gateway.pb.h"
 #include "libgateway/connection_pool.h"
+#include "libgateway/rollout_codec.h"
 
 namespace mulberry::gateway {
 namespace {
@@ -48,6 +49,47 @@
   return update;
 }
 
+void EncodeTokens(const PeerMessage& message, wire::Datagram* out) {
+  if (message.token_query) {
+    wire::CapQuery* query = out->mutable_cap_query();
+    query->set_sequence(message.token_query->sequence);
+    for (const workspace::TokenQuery::Part& part : message.token_query->parts) {
+      wire::CapQuery::Part* added = query->add_parts();
+      added->set_workspace(part.workspace.str());
+      added->set_tokens(part.tokens);
+    }
+  }
+  if (!message.token_grant) return;
+  wire::CapGrant* grant = out->mutable_cap_grant();
+  grant->set_receiver_start(message.token_grant->receiver_start.value());
+  grant->set_sequence(message.token_grant->sequence);
+  for (const workspace::TokenGrant::Part& part : message.token_grant->parts) {
+    wire::CapGrant::Part* added = grant->add_parts();
+    added->set_workspace(part.workspace.str());
+    added->set_tokens(part.tokens);
+    added->set_left(part.left);
+    added->set_unknown(!part.known);
+  }
+}
+
+void DecodeTokens(const wire::Datagram& in, PeerMessage* message) {
+  if (in.has_cap_query()) {
+    workspace::TokenQuery& query = message->token_query.emplace();
+    query.sequence = in.cap_query().sequence();
+    for (const wire::CapQuery::Part& part : in.cap_query().parts()) {
+      query.parts.push_back({WorkspaceName(part.workspace()), part.tokens()});
+    }
+  }
+  if (!in.has_cap_grant()) return;
+  workspace::TokenGrant& grant = message->token_grant.emplace();
+  grant.receiver_start = StartId(in.cap_grant().receiver_start());
+  grant.sequence = in.cap_grant().sequence();
+  for (const wire::CapGrant::Part& part : in.cap_grant().parts()) {
+    grant.parts.push_back(
+        {WorkspaceName(part.workspace()), part.tokens(), part.left(), !part.unknown()});
+  }
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -72,6 +114,19 @@
   if (message.server_update) EncodeUpdate(*message.server_update, out.mutable_server_news());
   if (message.operator_update) EncodeUpdate(*message.operator_update, out.mutable_operator_news());
   if (message.config_record) EncodeRecord(*message.config_record, out.mutable_config_record());
+  if (message.proof_query) out.set_proof_query(*message.proof_query);
+  if (message.proof_answer) {
+    wire::ProofAnswer* answer = out.mutable_proof_answer();
+    answer->set_stamp(message.proof_answer->stamp);
+    answer->set_start(message.proof_answer->start.value());
+    answer->set_age_us(static_cast<std::uint64_t>(message.proof_answer->age.count()));
+  }
+  if (message.rollout_report) {
+    EncodeRolloutReport(*message.rollout_report, out.mutable_rollout_report());
+  }
+  if (message.rollout_state) {
+    EncodeRolloutState(*message.rollout_state, out.mutable_rollout_state());
+  }
   for (const auto& [server, count] : message.in_flight) {
     wire::InFlight* added = out.add_in_flight();
     added->set_id(server.str());
@@ -87,6 +142,7 @@
         static_cast<std::uint32_t>(std::lround(load.report.slowness * kPercent)));
     added->set_age_ms(static_cast<std::uint32_t>(ToMilliseconds(load.age)));
   }
+  EncodeTokens(message, &out);
   return out.SerializeAsString();
 }
 
@@ -112,6 +168,14 @@
   if (in.has_server_news()) message.server_update = DecodeUpdate(in.server_news());
   if (in.has_operator_news()) message.operator_update = DecodeUpdate(in.operator_news());
   if (in.has_config_record()) message.config_record = DecodeRecord(in.config_record());
+  if (in.has_proof_query()) message.proof_query = in.proof_query();
+  if (in.has_proof_answer()) {
+    const wire::ProofAnswer& answer = in.proof_answer();
+    message.proof_answer = {answer.stamp(), StartId(answer.start()),
+                            Duration(static_cast<std::int64_t>(answer.age_us()))};
+  }
+  if (in.has_rollout_report()) message.rollout_report = DecodeRolloutReport(in.rollout_report());
+  if (in.has_rollout_state()) message.rollout_state = DecodeRolloutState(in.rollout_state());
   if (heartbeat.record.host.empty() || !ParseEndpoint(heartbeat.record.peer_address) ||
       !ParseEndpoint(heartbeat.caller_address)) {
     return Fail(ErrorCode::kCorrupt, "datagram without a host name or a valid address");
@@ -127,6 +191,7 @@
     shared.age = std::chrono::milliseconds(load.age_ms());
     message.loads.push_back(std::move(shared));
   }
+  DecodeTokens(in, &message);
   return message;
 }
 
--- a/src/libgateway/peer_channel.h
+++ b/src/libgateway/peer_channel.h
@@ -15,6 +15,7 @@
 #include "libgateway/platform_adapter.h"
 #include "libgateway/topic_update.h"
 #include "libgateway/types.h"
+#include "libworkspace/workspace.h"
 
 namespace mulberry::gateway {
 
@@ -25,6 +26,15 @@
   Duration age{};
 };
 
+/// Answer to a question for a proof of freshness, see workspace::ProofAnswer; the version is that
+/// of the heartbeat.
+struct ProofAnswerMessage {
+  std::uint64_t stamp = 0;
+  /// Start of the host that asked.
+  StartId start;
+  Duration age{};
+};
+
 /// The content of one datagram.
 struct PeerMessage {
   HostHeartbeat heartbeat;
@@ -38,6 +48,15 @@
   bool wants_operator_records = false;
   /// The record of the sender's configuration.
   std::optional<TopicRecord> config_record;
+  /// Asks for a ProofAnswerMessage with this stamp.
+  std::optional<std::uint64_t> proof_query;
+  std::optional<ProofAnswerMessage> proof_answer;
+  /// What the sender tells the coordinator of a rollout, and the coordinator's answer.
+  std::optional<rollout::Report> rollout_report;
+  std::optional<rollout::StateUpdate> rollout_state;
+  /// Tokens of workspaces with a rate limit. A message with a query or a grant is no heartbeat.
+  std::optional<workspace::TokenQuery> token_query;
+  std::optional<workspace::TokenGrant> token_grant;
 };
 
 /// Sends and receives UDP datagrams between entry hosts. Each carries the whole current state, so a
--- a/src/libgateway/server_pool.cc
+++ b/src/libgateway/server_pool.cc
@@ -15,9 +15,26 @@
 constexpr Duration kLoadReportLifetime = std::chrono::milliseconds(400);
 /// A server is ejected after this many health checks in a row without an answer.
 constexpr std::uint32_t kMaxUnansweredHealthChecks = 2;
-/// If a larger fraction of a service's servers answers with errors, ejecting more of them would
-/// overload the rest.
-constexpr double kMaxEjectedFraction = 0.34;
+/// A server that could be ejected but for the ejection budget is avoided for this time, as long as
+/// a first ejection lasts.
+constexpr Duration kAvoidTime = std::chrono::milliseconds(500);
+/// Added to the expected latency of a server that is avoided; more than any latency target.
+constexpr Duration kAvoidPenalty = std::chrono::seconds(10);
+/// A server that has answered nothing for this time, several health checks included, counts as
+/// unreachable.
+constexpr Duration kUnreachableSilence = std::chrono::seconds(1);
+/// Health checks time out after 200 ms; a server that answered a request meanwhile is not silent.
+constexpr Duration kHealthCheckTime = std::chrono::milliseconds(200);
+/// A request that this host gave up may occupy its server for this multiple of the answer time.
+constexpr int kAbandonedFactor = 2;
+/// Servers whose expected latency is within this fraction of the lowest share the requests, if
+/// requests are spread. Estimates of equal servers differ by about as much.
+constexpr double kSpreadFraction = 0.2;
+constexpr Duration kMaxSpread = std::chrono::milliseconds(20);
+/// Fraction of its slots up to which a server of another data centre gets requests by SpillPolicy.
+constexpr double kSpillLoadFraction = 0.8;
+/// Minimum interval of log lines about requests to ejected servers.
+constexpr Duration kLastResortLogInterval = std::chrono::seconds(1);
 /// A trial is left to idempotent requests for this long, since it may cost the request. A service
 /// without such requests would otherwise never get an ejected server back.
 constexpr Duration kIdempotentTrialTime = std::chrono::seconds(1);
@@ -88,11 +105,11 @@
     by_service_[entry.service].push_back(entry.id);
   }
   if (is_new) by_service_[entry.service].push_back(entry.id);
-  const bool changed = is_new || restarted || server.entry.service != entry.service ||
-                       server.entry.address != entry.address ||
-                       server.entry.leaving != entry.leaving || server.entry.slots != entry.slots ||
-                       server.entry.data_centre != entry.data_centre ||
-                       entry.cold_time_left > Duration::zero();
+  const bool changed =
+      is_new || restarted || server.entry.service != entry.service ||
+      server.entry.address != entry.address || server.entry.leaving != entry.leaving ||
+      server.entry.slots != entry.slots || server.entry.data_centre != entry.data_centre ||
+      server.entry.version != entry.version || entry.cold_time_left > Duration::zero();
   server.entry = entry;
   const auto announced = announced_leaving_.find(entry.id);
   server.leaving_announced =
@@ -104,6 +121,9 @@
     server.paused_until = TimePoint();
     server.health = ServerHealth(kHealthLimits);
     server.relative_latency = 1;
+    server.unreachable = false;
+    server.avoided_until = TimePoint();
+    server.abandoned.clear();
     MarkCold(server, now);
   }
   if (entry.cold_time_left > Duration::zero()) {
@@ -139,9 +159,13 @@
   Duration best_expected = Duration::max();
   NoServerReason reason = NoServerReason::kNoServer;
   std::uint32_t equal_candidates = 0;
+  const bool spread = state.capacity.Hangs() || options_.spill;
+  std::vector<Candidate> candidates;
+  std::map<DataCentreName, RemoteSide> sides;
   for (const ServerName& id : by_service_[request.service]) {
     Server& server = servers_.at(id);
     if (request.tried.count(id) != 0 || !IsUsable(server, now)) continue;
+    if (request.accepts != nullptr && !(*request.accepts)(server.entry)) continue;
     if (now < server.paused_until) {
       if (reason == NoServerReason::kNoServer) reason = NoServerReason::kAllPaused;
       continue;
@@ -150,9 +174,16 @@
     if (in_trial && !request.idempotent && now < server.health.TrialTime() + kIdempotentTrialTime) {
       continue;
     }
-    const bool low_load_only = request.hedge || server.entry.data_centre != options_.data_centre;
-    if (LoadOf(server, now) >= (low_load_only ? MaxSlots(server, options_.spare_load_fraction)
-                                              : ConcurrencyLimit(server, state))) {
+    const bool remote = server.entry.data_centre != options_.data_centre;
+    RemoteSide* side = options_.spill && remote ? &sides[server.entry.data_centre] : nullptr;
+    if (side != nullptr) AddToSide(*side, server, now);
+    const bool has_news = now - server.report_time <= kLoadReportLifetime;
+    const bool low_load_only = request.hedge || (remote && (side == nullptr || !has_news));
+    const double limit = side != nullptr && !low_load_only ? MaxSlots(server, kSpillLoadFraction)
+                         : low_load_only ? MaxSlots(server, options_.spare_load_fraction)
+                                         : ConcurrencyLimit(server, state);
+    const double load = LoadOf(server, now);
+    if (load >= limit || !HasRoomBeforeHang(server, state, now)) {
       reason = NoServerReason::kAllBusy;
       continue;
     }
@@ -161,6 +192,12 @@
       continue;
     }
     const Duration expected = ExpectedLatency(server, state, now);
+    if (side != nullptr) {
+      side->candidates.push_back({&server, expected, limit - load});
+      side->expected = std::min(side->expected, expected);
+      continue;
+    }
+    if (spread) candidates.push_back({&server, expected, limit - load});
     // Servers whose expected latency differs by less than 1 ms count as equal; one of them is
     // picked at random.
     if (best != nullptr && expected >= best_expected + std::chrono::milliseconds(1)) continue;
@@ -171,8 +208,28 @@
     best = &server;
     best_expected = expected;
   }
+  const Duration here =
+      sides.empty() ? Duration::zero() : ExpectedHere(request, state, best_expected, now);
+  const Candidate* spilled = SpillTarget(request, here, sides, now);
+  const char* spill_reason = "";
+  if (spilled != nullptr) {
+    spill_reason = here == Duration::max() ? "no_local_server"
+                   : best == nullptr       ? "busy"
+                                           : "slower";
+  } else if (candidates.size() > 1) {
+    spilled = &SpreadAmong(candidates, best_expected);
+  }
+  if (spilled != nullptr) {
+    best = spilled->server;
+    best_expected = spilled->expected;
+  }
+  const bool may_spill = std::any_of(
+      sides.begin(), sides.end(), [](const auto& side) { return !side.second.candidates.empty(); });
+  if (best == nullptr && may_spill) return NoServerReason::kAllBusy;
+  if (best == nullptr && reason == NoServerReason::kNoServer) best = LastResort(request, now);
   if (best == nullptr) return reason;
   Selection choice;
+  choice.spill_reason = spill_reason;
   choice.id = best->entry.id;
   choice.address = best->entry.address;
   choice.expected = best_expected;
@@ -183,13 +240,172 @@
   return choice;
 }
 
+void ServerPool::AddToSide(RemoteSide& side, const Server& server, TimePoint now) const {
+  side.in_flight += server.in_flight;
+  side.news = std::max(side.news, server.report_time);
+  if (now < server.cold_until || now - server.report_time > kLoadReportLifetime) return;
+  side.spare += server.entry.slots * kSpillLoadFraction - LoadOf(server, now);
+}
+
+Duration ServerPool::ExpectedHere(const SelectionRequest& request, const ServiceState& state,
+                                  Duration best_expected, TimePoint now) const {
+  if (best_expected != Duration::max()) return best_expected;
+  std::uint32_t slots = 0;
+  for (const ServerName& id : by_service_.at(request.service)) {
+    const Server& server = servers_.at(id);
+    const bool usable = server.entry.data_centre == options_.data_centre &&
+                        request.tried.count(id) == 0 && now >= server.paused_until &&
+                        IsUsable(server, now);
+    if (usable) slots += server.entry.slots;
+  }
+  if (slots == 0) return Duration::max();
+  // Each host of the data centre fills its part of the slots from its own queue.
+  const double own_slots = std::max(1.0, static_cast<double>(slots) / senders_.local_hosts);
+  const Duration usual = UsualTime(state);
+  const double waits = (static_cast<double>(request.queued) + 1) / own_slots;
+  return usual + Duration(std::llround(static_cast<double>(usual.count()) * waits));
+}
+
+const ServerPool::Candidate* ServerPool::SpillTarget(
+    const SelectionRequest& request, Duration here,
+    const std::map<DataCentreName, RemoteSide>& sides, TimePoint now) {
+  const RemoteSide* best = nullptr;
+  for (const auto& [name, side] : sides) {
+    if (side.candidates.empty()) continue;
+    const double phase = std::uniform_real_distribution<double>(0, 1)(random_);
+    placement::SpillPolicy& policy = ServiceStateOf(request.service)
+                                         .spill.try_emplace(name, options_.spill_costs, phase)
+                                         .first->second;
+    const bool was_active = policy.active();
+    const std::uint32_t senders = std::max(senders_.all_hosts, 2U) - 1;
+    // Without news, any server of another data centre is better than none.
+    const bool blind = here == Duration::max() && now - side.news > kLoadReportLifetime;
+    const bool allowed = policy.Allows(
+        {here, side.expected, side.spare, now - side.news, senders, side.in_flight, request.bytes},
+        now);
+    if (policy.active() != was_active) {
+      LogEvent(LogLevel::kInfo, policy.active() ? "spill_started" : "spill_stopped",
+               {{"service", request.service.str()},
+                {"data_centre", name.str()},
+                {"here_ms", here == Duration::max() ? -1 : ToMilliseconds(here)},
+                {"there_ms", ToMilliseconds(side.expected)},
+                {"spare", side.spare},
+                {"news_age_ms", ToMilliseconds(now - side.news)}});
+    }
+    if ((allowed || blind) && (best == nullptr || side.expected < best->expected)) best = &side;
+  }
+  return best == nullptr ? nullptr : &SpreadAmong(best->candidates, best->expected);
+}
+
+/// Picks one of the candidates that are nearly as good as the best one, at random in proportion to
+/// their room: hosts that know the same would otherwise all choose the same server.
+const ServerPool::Candidate& ServerPool::SpreadAmong(const std::vector<Candidate>& candidates,
+                                                     Duration best_expected) {
+  const Duration spread(
+      static_cast<std::int64_t>(static_cast<double>(best_expected.count()) * kSpreadFraction));
+  const Duration band = best_expected + std::min(spread, kMaxSpread);
+  double room = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.expected <= band) room += candidate.room;
+  }
+  double pick = std::uniform_real_distribution<double>(0, room)(random_);
+  const Candidate* chosen = nullptr;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.expected > band) continue;
+    chosen = &candidate;
+    pick -= candidate.room;
+    if (pick < 0) break;
+  }
+  return *chosen;
+}
+
+ServerPool::Server* ServerPool::LastResort(const SelectionRequest& request, TimePoint now) {
+  Server* best = nullptr;
+  for (const ServerName& id : by_service_[request.service]) {
+    Server& server = servers_.at(id);
+    if (request.hedge || request.tried.count(id) != 0 || server.entry.leaving ||
+        server.leaving_announced || data_centres_out_.count(server.entry.data_centre) != 0 ||
+        server.unreachable || server.health.StateAt(now) == ServerHealth::State::kHealthy ||
+        now < server.paused_until || LoadOf(server, now) >= server.entry.slots) {
+      continue;
+    }
+    const ServiceState& state = ServiceStateOf(request.service);
+    if (!HasRoomBeforeHang(server, state, now) || !HasColdCapacity(server, state.service, now)) {
+      continue;
+    }
+    const auto rank = [](const Server& s) {
+      return std::pair(s.health.FailureRate(), s.health.TrialTime());
+    };
+    if (best == nullptr || rank(server) < rank(*best)) best = &server;
+  }
+  if (best != nullptr && now - last_resort_logged_at_ >= kLastResortLogInterval) {
+    last_resort_logged_at_ = now;
+    LogEvent(LogLevel::kInfo, "server_last_resort",
+             {{"server", best->entry.id.str()}, {"service", request.service.str()}});
+  }
+  return best;
+}
+
+bool ServerPool::HasRoomBeforeHang(const Server& server, const ServiceState& state,
+                                   TimePoint now) const {
+  if (!state.capacity.Hangs()) return true;
+  const auto abandoned = std::count_if(server.abandoned.begin(), server.abandoned.end(),
+                                       [&](TimePoint until) { return now < until; });
+  const double own = static_cast<double>(server.in_flight - SilentRequests(server, now)) +
+                     static_cast<double>(abandoned);
+  return own < state.capacity.HostLimit(server.entry.slots,
+                                        server.entry.data_centre == options_.data_centre, senders_,
+                                        server.entry.id.str());
+}
+
+std::uint32_t ServerPool::SilentRequests(const Server& server, TimePoint now) const {
+  const auto state = services_.find(server.entry.service);
+  if (state == services_.end() || !state->second.capacity.Hangs()) return 0;
+  return std::min(server.in_flight, server.silence.SilentCount(UsualTime(state->second), now));
+}
+
+Duration ServerPool::UsualTime(const ServiceState& state) {
+  return state.time_us > 0 ? Duration(static_cast<std::int64_t>(state.time_us))
+                           : kInitialServiceTime;
+}
+
+void ServerPool::LearnFromSilence(Server& server, TimePoint now) {
+  ServiceState& state = ServiceStateOf(server.entry.service);
+  for (const double held : server.silence.TakeSilent(UsualTime(state), now)) {
+    ++silent_requests_;
+    if (!options_.learn_hangs || !state.capacity.OnSilence(held, server.entry.slots)) continue;
+    LogEvent(LogLevel::kWarning, "servers_hang_when_full",
+             {{"service", server.entry.service.str()},
+              {"server", server.entry.id.str()},
+              {"held", held},
+              {"slots", server.entry.slots},
+              {"capacity", state.capacity.Capacity(server.entry.slots)}});
+  }
+}
+
+bool ServerPool::RecordGivenUp(Server& server, TimePoint sent, TimePoint now) {
+  const ServiceState& state = ServiceStateOf(server.entry.service);
+  if (!state.capacity.Hangs()) return false;
+  if (server.silence.IsSilent(sent, UsualTime(state), now)) return true;
+  server.abandoned.push_back(now + UsualTime(state) * kAbandonedFactor);
+  while (server.abandoned.front() <= now) server.abandoned.pop_front();
+  return false;
+}
+
 AttemptContext ServerPool::OnSent(const ServerName& id, TimePoint now) {
-  AttemptContext context{now, false, 1};
+  AttemptContext context;
+  context.sent = now;
   const auto found = servers_.find(id);
   if (found == servers_.end()) return context;
   Server& server = found->second;
-  context.near_full = LoadOf(server, now) + 1 > MaxSlots(server, options_.near_full_fraction);
+  context.load = LoadOf(server, now);
+  context.last_resort = server.health.StateAt(now) == ServerHealth::State::kEjected;
+  if (context.last_resort) ++last_resorts_;
+  server.silence.OnSent(now, context.load);
+  context.near_full = context.load + 1 > MaxSlots(server, options_.near_full_fraction);
   context.slowness = SlownessOf(server, ServiceStateOf(server.entry.service), now);
+  context.version = server.entry.version;
+  context.cold = now < server.cold_until;
   ++server.in_flight;
   ++server.sends_since_report;
   server.cold_sends.push_back(now);
@@ -204,12 +420,34 @@
   Server& server = found->second;
   if (server.in_flight > 0) --server.in_flight;
   --server.sends_since_report;
+  const bool given_up = end == AttemptOutcome::kTimedOut || end == AttemptOutcome::kCancelled;
+  LearnFromSilence(server, now);
+  const bool was_full = given_up && RecordGivenUp(server, context.sent, now);
+  const bool answered = end == AttemptOutcome::kAnswered || end == AttemptOutcome::kServerFailure;
+  if (server.silence.OnEnd(context.sent, answered)) {
+    ServiceStateOf(server.entry.service).capacity.OnLateAnswer();
+  }
+  if (answered || end == AttemptOutcome::kShed) {
+    server.last_answer = std::max(server.last_answer, now);
+  }
+  if (end == AttemptOutcome::kShed) {
+    ServiceStateOf(server.entry.service).capacity.OnRefusal(context.load, server.entry.slots);
+  }
+  if (was_full) return;
+  if (end == AttemptOutcome::kAnswered) {
+    server.avoided_until = TimePoint();
+    server.unreachable = false;
+  }
   server.health.OnResult(ToHealthResult(end), context.sent, now);
+  if (end == AttemptOutcome::kAnswered && context.last_resort) server.health.Readmit(now);
   const bool lost = end == AttemptOutcome::kConnectFailed || end == AttemptOutcome::kNotSent;
   if (server.health.StateAt(now) == ServerHealth::State::kHealthy) {
     if (server.health.Unreachable()) {
-      Eject(server, "unreachable", now);
-    } else if (server.health.HasTooManyFailures() && !TooManyEjected(server.entry.service, now)) {
+      EjectWithinBudget(
+          server, "unreachable",
+          end == AttemptOutcome::kConnectFailed || end == AttemptOutcome::kMisdirected, now);
+    } else if (server.health.HasTooManyFailures() &&
+               BudgetOf(server.entry.service, now).HasRoom()) {
       Eject(server, AttemptOutcomeName(end), now);
     }
   }
@@ -240,13 +478,14 @@
   if (found != servers_.end()) found->second.peer_in_flight[host] = {in_flight, now};
 }
 
-std::vector<std::pair<ServerName, std::uint32_t>> ServerPool::TakeInFlightCounts() {
+std::vector<std::pair<ServerName, std::uint32_t>> ServerPool::TakeInFlightCounts(TimePoint now) {
   std::vector<std::pair<ServerName, std::uint32_t>> changed;
   for (auto& [id, server] : servers_) {
+    const std::uint32_t in_flight = server.in_flight - SilentRequests(server, now);
     // Non-zero counts are repeated because datagrams can be lost and receivers discard old counts.
-    if (server.in_flight == server.reported_in_flight && server.in_flight == 0) continue;
-    server.reported_in_flight = server.in_flight;
-    changed.emplace_back(id, server.in_flight);
+    if (in_flight == server.reported_in_flight && in_flight == 0) continue;
+    server.reported_in_flight = in_flight;
+    changed.emplace_back(id, in_flight);
   }
   return changed;
 }
@@ -261,6 +500,8 @@
   server.report_time = measured_at;
   ServiceState& state = ServiceStateOf(server.entry.service);
   state.mean_slowness += kSmoothingWeight * (report.slowness - state.mean_slowness);
+  server.silence.OnReport(report.running + report.waiting, measured_at);
+  state.capacity.OnReport(report.running, report.waiting, server.entry.slots);
 }
 
 void ServerPool::OnHealthCheckEnd(const ServerName& id, bool answered, TimePoint now) {
@@ -268,16 +509,21 @@
   if (found == servers_.end()) return;
   Server& server = found->second;
   if (!answered) {
+    if (IsKnownBusy(server, now)) return;
     server.unreachable_since = std::min(server.unreachable_since, now);
     if (++server.unanswered_health_checks < kMaxUnansweredHealthChecks) return;
-    if (server.health.StateAt(now) != ServerHealth::State::kEjected) Eject(server, "silent", now);
+    if (server.health.StateAt(now) == ServerHealth::State::kEjected) return;
+    EjectWithinBudget(server, "silent", now - server.last_answer >= kUnreachableSilence, now);
     return;
   }
+  server.last_answer = std::max(server.last_answer, now);
   const bool was_silent = server.unanswered_health_checks >= kMaxUnansweredHealthChecks;
   server.unanswered_health_checks = 0;
   if (!was_silent) return;
   LogEvent(LogLevel::kInfo, "server_answers_again", {{"server", id.str()}});
   server.health.Readmit(now);
+  server.unreachable = false;
+  server.avoided_until = TimePoint();
   server.unreachable_since = TimePoint::max();
   MarkCold(server, now);
 }
@@ -343,6 +589,8 @@
     const auto service = services_.find(server.entry.service);
     if (service == services_.end() || service->second.service.health_path.empty()) continue;
     if (now - service->second.last_requested > kHealthCheckAfterRequest) continue;
+    // A check takes a place in the queue; a full server would not answer it in time.
+    if (service->second.capacity.Hangs() && LoadOf(server, now) > server.entry.slots) continue;
     if (StableHash(id.str()) % share.count != share.index) continue;
     due.push_back({id, server.entry.address, service->second.service.health_path});
   }
@@ -378,6 +626,12 @@
   return slots;
 }
 
+std::map<ServiceName, std::vector<const ServerEntry*>> ServerPool::EntriesByService() const {
+  std::map<ServiceName, std::vector<const ServerEntry*>> entries;
+  for (const auto& [id, server] : servers_) entries[server.entry.service].push_back(&server.entry);
+  return entries;
+}
+
 double ServerPool::LocalUsableShare(TimePoint now) const {
   std::size_t local = 0;
   std::size_t usable = 0;
@@ -400,15 +654,46 @@
             {"ejected_for_ms", ToMilliseconds(server.health.TrialTime() - now)}});
 }
 
-bool ServerPool::TooManyEjected(const ServiceName& service, TimePoint now) const {
+void ServerPool::EjectWithinBudget(Server& server, const char* why, bool unreachable,
+                                   TimePoint now) {
+  // A server on trial is ejected already.
+  const bool is_new = server.health.StateAt(now) == ServerHealth::State::kHealthy;
+  if (!is_new || BudgetOf(server.entry.service, now).Decide(unreachable) ==
+                     placement::EjectionVerdict::kEject) {
+    server.unreachable = server.unreachable || unreachable;
+    Eject(server, why, now);
+    return;
+  }
+  if (now >= server.avoided_until) {
+    LogEvent(LogLevel::kInfo, "server_avoided",
+             {{"server", server.entry.id.str()},
+              {"why", why},
+              {"avoided_for_ms", ToMilliseconds(kAvoidTime)}});
+  }
+  server.avoided_until = now + kAvoidTime;
+}
+
+placement::EjectionBudget ServerPool::BudgetOf(const ServiceName& service, TimePoint now) const {
   const auto found = by_service_.find(service);
-  if (found == by_service_.end()) return false;
+  if (found == by_service_.end()) return {0, 0};
   const auto ejected =
       std::count_if(found->second.begin(), found->second.end(), [&](const ServerName& id) {
         return servers_.at(id).health.StateAt(now) != ServerHealth::State::kHealthy;
       });
-  return static_cast<double>(ejected) + 1 >
-         kMaxEjectedFraction * static_cast<double>(found->second.size());
+  return {found->second.size(), static_cast<std::size_t>(ejected)};
+}
+
+bool ServerPool::IsKnownBusy(const Server& server, TimePoint now) const {
+  if (now - server.last_answer <= kHealthCheckTime) return true;
+  const auto state = services_.find(server.entry.service);
+  return state != services_.end() && state->second.capacity.Hangs() &&
+         server.report.running + server.report.waiting >= server.entry.slots &&
+         now - server.last_answer < kUnreachableSilence;
+}
+
+std::size_t ServerPool::HangingServices() const {
+  return static_cast<std::size_t>(std::count_if(
+      services_.begin(), services_.end(), [](const auto& s) { return s.second.capacity.Hangs(); }));
 }
 
 bool ServerPool::IsUsable(const Server& server, TimePoint now) const {
@@ -454,7 +739,7 @@
 }
 
 double ServerPool::LoadOf(const Server& server, TimePoint now) const {
-  double in_flight = server.in_flight;
+  double in_flight = server.in_flight - SilentRequests(server, now);
   for (const auto& [host, reported_count] : server.peer_in_flight) {
     if (now - reported_count.second <= kLoadReportLifetime) in_flight += reported_count.first;
   }
@@ -485,7 +770,10 @@
   // A small term prefers the less loaded of two servers of the same speed.
   const double spread = usual_time * 0.1 * load / slots;
   Duration expected(static_cast<std::int64_t>(work + spread));
-  if (server.entry.data_centre != options_.data_centre) expected += options_.remote_penalty;
+  if (server.entry.data_centre != options_.data_centre && !options_.spill) {
+    expected += options_.remote_penalty;
+  }
+  if (now < server.avoided_until) expected += kAvoidPenalty;
   return expected;
 }
 
--- a/src/libgateway/store_view.cc
+++ b/src/libgateway/store_view.cc
@@ -58,6 +58,7 @@
           },
           [this](TopicPosition before) { OnServerTopicRead(before); }) {
   servers_.SetReachabilityCallback([this](bool reachable) { events_.OnStoreReachable(reachable); });
+  operators_.SetEndCallback([this](TimePoint sent) { events_.OnOperatorTopicEnd(sent); });
   operators_.SetEraCallback([this](StoreEra era) { events_.OnStoreEra(era); });
   servers_.SetEraCallback([this](StoreEra era) { events_.OnStoreEra(era); });
   ChooseSilenceTimeout();
@@ -183,6 +184,13 @@
     ApplyDataCentre(*data_centre, source);
     return;
   }
+  const bool is_withdrawn = std::holds_alternative<RolloutWithdrawnUpdate>(update.value());
+  if (is_withdrawn && source == RecordSource::kMissing &&
+      MonotonicClock::now() < relay_all_until_) {
+    // The copy is older than the order, which stands.
+    LogEvent(LogLevel::kInfo, "rollout_order_missing", {{"key", record.key}});
+    return;
+  }
   const auto* config = std::get_if<ConfigUpdate>(&update.value());
   if (config != nullptr && config->config.version > newest_version_) {
     newest_version_ = config->config.version;
