Tests: nodes with rollouts, keys and caps have a test program of their own

test_platform waits for real time and had grown from some 100 s to about 290 s beside load, close to the limit of 300 s of one test. The three files are moved unchanged but for an include; no test is dropped.

--- a/tests/platform/rollout_test.cc
+++ b/tests/platform_fleet/rollout_test.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "node_fixture.h"
+#include "platform/node_fixture.h"
 
 namespace mulberry::platform {
 namespace {
--- a/tests/platform/workspace_keys_test.cc
+++ b/tests/platform_fleet/workspace_keys_test.cc
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "node_fixture.h"
+#include "platform/node_fixture.h"
 #include "scenarios/runner/child_process.h"
 
 namespace mulberry::platform {
