Rollouts: a server's response at the time limit counts as slow, not as a failure

A server answers 504 when it runs out of the caller's time, for example on a slow machine, and that was counted as a failure of its version. It now counts as a response that took too long, as a time-out does.

--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -47,6 +47,7 @@
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusGatewayTimeout = 504;
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -485,7 +486,9 @@
   }
   links_.Release(attempt.address, attempt.link);
   deps_.pool.OnEnd(attempt.server, end, attempt.context, now);
-  RecordForRollout(*call, attempt, end, now);
+  // A server that stopped at the time limit was too slow; that is no failure of its version.
+  const bool out_of_time = answer.response.status == kStatusGatewayTimeout;
+  RecordForRollout(*call, attempt, out_of_time ? AttemptOutcome::kTimedOut : end, now);
   RecordLoadReport(attempt.server, end, answer.response, now);
   RecordLeaving(attempt.server, end, answer.response);
   RecordPause(attempt.server, end, answer.response, now);
