Rollouts: response times count at the usual speed of the machine

The other version's requests go to machines that are fast at that moment, while the target has few servers to choose from, and a quarter of the machines is five times slower. A response time is divided by the slowness that the machine had reported when the request was sent.

--- a/src/libgateway/rollout_controller.cc
+++ b/src/libgateway/rollout_controller.cc
@@ -402,9 +402,13 @@
                          end == AttemptOutcome::kServerFailure || end == AttemptOutcome::kTimedOut;
   if (!responded) return;
   const bool of_target = context.version == state.order->order().target;
+  // The few servers of the target leave no choice of a fast machine, so a machine that was known to
+  // be slow must not count against the version.
+  const double slowness = std::max(1.0, context.slowness);
+  const Duration took = std::chrono::duration_cast<Duration>((now - context.sent) / slowness);
   state.order->OnResponse(attempt.route,
                           of_target ? HalfOf(attempt.server) : rollout::ServerGroup::kOther,
-                          end == AttemptOutcome::kServerFailure, now - context.sent);
+                          end == AttemptOutcome::kServerFailure, took);
 }
 
 }  // namespace mulberry::gateway
