--- a/src/librollout/evidence.cc
+++ b/src/librollout/evidence.cc
@@ -19,6 +19,9 @@
 /// A response is slow above this multiple of the other version's median. Cold servers, which take
 /// twice the usual time, stay below it.
 constexpr double kSlowFactor = 2.5;
+/// No response is slow below this time: on a host with a tenth of a core, the host's own delays are
+/// of this size.
+constexpr double kMinSlowMs = 50;
 /// Smallest part of the responses by which slow ones must exceed the other version's.
 constexpr double kMinSlowExcess = 0.18;
 constexpr double kMinSlowExcessShifting = 0.25;
@@ -100,7 +103,7 @@
   const TimeHistogram& usual = counts.other().times;
   const std::uint32_t responses = target.times.total();
   if (responses < kMinTimedResponses || usual.total() < kMinTimedResponses) return {};
-  const double slow_ms = usual.MedianMs() * kSlowFactor;
+  const double slow_ms = std::max(kMinSlowMs, usual.MedianMs() * kSlowFactor);
   const std::size_t bucket =
       TimeHistogram::BucketOf(Duration(static_cast<std::int64_t>(slow_ms * 1000)));
   const std::uint32_t slow = target.times.CountAbove(bucket);
