--- a/tests/gateway/overload_model.cc
+++ b/tests/gateway/overload_model.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 namespace mulberry::gateway {
 namespace {
@@ -195,7 +196,8 @@
 }
 
 void OverloadModel::FinishRequest(const ServerName& id, Running done, TimePoint now) {
-  pool_.OnEnd(id, AttemptOutcome::kAnswered, done.context, now);
+  const AttemptContext context = std::move(done.context);
+  pool_.OnEnd(id, AttemptOutcome::kAnswered, context, now);
   pool_.OnLoadReport(id, ReportOf(servers_.at(id)), now);
   const Caller caller = callers_.at(done.caller);
   callers_.erase(done.caller);
