review: a script that fails to run does not report a broken rule

The shared start of the scripts exits with 2 for every failure of Python itself, whose own exit code of 1 would say that the rule was broken.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -447,4 +447,9 @@
         finally:
             world.close()
 
-    sys.exit(asyncio.run(main()))
+    try:
+        result = asyncio.run(main())
+    except BaseException as error:  # Python's own exit code for this would be 1, which says "broken".
+        print("could not run: %r" % error, file=sys.stderr)
+        result = 2
+    sys.exit(result)
