Gateway: a call that waits is sent from one place only

Cause: the key is checked again before each send, and the check gave a queued call the workspace of the newest configuration. The queue found its entries by priority and workspace, so it did not find the entry to remove. The entry stayed, was returned as the next call, and the call was sent again: no send asked whether the call was running, answered or out of attempts.

Change: - The queue removes a call by its id, under the values it was added with. - A call keeps the entry by which its arrival, place and dispatch are counted. - A call is in one phase at a time (ready, waits for a proof, queued, waits for a token, running, answered). Leaving a phase leaves its structure, and TryDispatch, the only way to an attempt, asks the phase and the attempts.

The same cause on a related path: the hedge timer of a failed attempt went on while the retry waited for a token, so a call was sent by both, or failed with 502 while its hedge was running. The new test "a retry that waits for a token is sent once when the token comes" failed before the change (two sends before the token, then 502).

--- a/src/libadmission/call_queue.cc
+++ b/src/libadmission/call_queue.cc
@@ -35,17 +35,21 @@
   // A call that comes back after a failed attempt has been held too long to be refused.
   const bool keep = fair_ && now > ReviewTime(call);
   if (!keep && !ShouldKeep(call, service_time, now)) return false;
+  by_id_.emplace(call.id, call);
   waiting_.insert(call);
   flows_[FlowOf(call)].insert(call);
   return true;
 }
 
-void CallQueue::Remove(const QueuedCall& call) {
+void CallQueue::Remove(CallId id) {
+  const auto entry = by_id_.find(id);
+  if (entry == by_id_.end()) return;
+  const QueuedCall& call = entry->second;
   waiting_.erase(call);
-  const auto found = flows_.find(FlowOf(call));
-  if (found == flows_.end()) return;
-  found->second.erase(call);
-  if (found->second.empty()) flows_.erase(found);
+  const auto flow = flows_.find(FlowOf(call));
+  flow->second.erase(call);
+  if (flow->second.empty()) flows_.erase(flow);
+  by_id_.erase(entry);
 }
 
 bool CallQueue::ShouldKeep(const QueuedCall& call, Duration service_time, TimePoint now) const {
--- a/src/libadmission/call_queue.h
+++ b/src/libadmission/call_queue.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 #include "libadmission/dispatch_rate.h"
@@ -17,7 +18,8 @@
 /// Identifies a call in its queue.
 using CallId = StrongNumber<struct QueuedCallIdTag>;
 
-/// The data of a call that a queue needs.
+/// The data of a call that a queue needs. A call's demand, place and dispatch are counted by the
+/// same values, even if a later configuration gives its workspace another name or priority.
 struct QueuedCall {
   CallId id;
   std::uint32_t priority = 0;
@@ -50,9 +52,11 @@
   /// Counts the arrival of a call, whether it will be queued or not. Not needed without fair
   /// shares.
   void OnArrival(const QueuedCall& call, TimePoint now);
-  /// Adds a call; returns false if it would wait too long, see ShouldQueue.
+  /// Adds a call; returns false if it would wait too long, see ShouldQueue. Precondition: no call
+  /// with this id waits.
   bool TryEnqueue(const QueuedCall& call, Duration service_time, TimePoint now);
-  void Remove(const QueuedCall& call);
+  /// Removes the call as it was added; does nothing if it does not wait.
+  void Remove(CallId id);
   /// Counts a dispatched call, whether it was queued or not.
   void OnDispatch(const QueuedCall& call, TimePoint now);
 
@@ -95,6 +99,8 @@
   bool fair_ = false;
   std::uint64_t dispatches_ = 0;
   std::set<QueuedCall> waiting_;
+  /// The same calls by id, with the values under which they stand in the other two containers.
+  std::unordered_map<CallId, QueuedCall> by_id_;
   /// The same calls by flow.
   std::map<Flow, std::set<QueuedCall, SentEarlier>> flows_;
   DispatchRate rate_;
--- a/src/libgateway/forwarder.cc
+++ b/src/libgateway/forwarder.cc
@@ -1,6 +1,7 @@
 #include "libgateway/forwarder.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "libgateway/response_classifier.h"
@@ -49,6 +50,10 @@
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusGatewayTimeout = 504;
 
+/// Names of the alternatives of Forwarder::Phase, for logs.
+constexpr std::array<const char*, 6> kPhaseNames = {"ready",         "waits_for_proof", "queued",
+                                                    "waits_for_cap", "running",         "answered"};
+
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 }  // namespace
@@ -92,7 +97,7 @@
   calls_by_exchange_[exchange] = call->id;
   calls_.emplace(call->id, std::move(call));
   const CallId id = admitted.id;
-  if (admitted.proof_wait_until) {
+  if (IsIn<WaitsForProof>(admitted)) {
     waiting_for_proof_.insert(id);
     SetTimer(admitted);
     return;
@@ -156,7 +161,7 @@
   AdoptWorkspace(call, decision);
   if (decision.verdict == KeyVerdict::kAdmitted) return true;
   if (decision.verdict == KeyVerdict::kWait) {
-    call.proof_wait_until = now + ProofWait(*call.route);
+    call.phase = WaitsForProof{now + ProofWait(*call.route)};
     return true;
   }
   RefuseKey(call, decision, now);
@@ -167,8 +172,7 @@
   call.workspace.in_use = call.workspace.in_use || key_gate_.active();
   if (decision.workspace == nullptr) return;
   call.workspace.name = decision.workspace->name;
-  // A queue finds a call by its priority.
-  if (!call.queued) call.priority = decision.workspace->priority.value_or(call.route->priority);
+  call.priority = decision.workspace->priority.value_or(call.route->priority);
 }
 
 void Forwarder::OnKeysChanged(TimePoint now) {
@@ -178,22 +182,18 @@
 
 void Forwarder::DecideWaiting(CallId id, bool may_wait, TimePoint now) {
   Call* call = Find(id);
-  if (call == nullptr || call->answered) {
-    waiting_for_proof_.erase(id);
-    return;
-  }
+  if (call == nullptr || !IsIn<WaitsForProof>(*call)) return;
   const KeyDecision decision =
       key_gate_.Check(call->request.headers, *call->route, call->arrived, may_wait, now);
   if (decision.verdict == KeyVerdict::kWait) return;
-  waiting_for_proof_.erase(id);
-  call->proof_wait_until.reset();
+  EnterPhase(*call, Ready());
   if (decision.verdict == KeyVerdict::kAdmitted) {
     AdoptWorkspace(*call, decision);
     OnWorkspaceKnown(*call);
     EnterQueue(*call, now);
     TryDispatch(*call, false, now);
   } else {
-    call->answered = true;
+    EnterPhase(*call, Answered());
     calls_by_exchange_.erase(call->exchange);
     RefuseKey(*call, decision, now);
   }
@@ -244,15 +244,14 @@
   const CallId id = found->second;
   calls_by_exchange_.erase(found);
   Call* call = Find(id);
-  if (call == nullptr || call->answered) return;
-  call->answered = true;
+  if (call == nullptr || IsIn<Answered>(*call)) return;
+  EnterPhase(*call, Answered());
   deps_.metrics.OnCallerDisconnected();
   LogEvent(LogLevel::kInfo, "caller_gone",
            {{"request", call->request_id},
             {"service", call->service.str()},
             {"held_ms", ToMilliseconds(MonotonicClock::now() - call->arrived)},
             {"attempts", call->state.attempts}});
-  Dequeue(*call);
   CancelAttempts(*call, AttemptOutcome::kCancelled, MonotonicClock::now());
   EraseIfDone(id);
 }
@@ -265,7 +264,33 @@
   return now + min_time > call.deadline;
 }
 
+/// Leaves the call's phase for another one, and sets the call's timer for that.
+void Forwarder::EnterPhase(Call& call, Phase phase) {
+  if (IsIn<WaitsForProof>(call)) waiting_for_proof_.erase(call.id);
+  if (IsIn<Queued>(call) && !std::holds_alternative<Queued>(phase)) LeaveQueue(call);
+  call.phase = phase;
+  SetTimer(call);
+}
+
+/// True when an attempt may start now: a hedge beside the attempt that is running, any other one if
+/// none is.
+bool Forwarder::MaySend(const Call& call, bool hedge) {
+  const bool may_send = hedge ? IsIn<Running>(call)
+                              : IsIn<Ready>(call) || IsIn<Queued>(call) || IsIn<WaitsForCap>(call);
+  return may_send && MayStartAttempt(call.state);
+}
+
+/// The only way to an attempt. Sends the call, lets it wait or fails it; a hedge is sent or not.
 void Forwarder::TryDispatch(Call& call, bool hedge, TimePoint now) {
+  if (!MaySend(call, hedge)) {
+    if (hedge) return;
+    LogEvent(LogLevel::kError, "dispatch_not_allowed",
+             {{"request", call.request_id},
+              {"phase", kPhaseNames.at(call.phase.index())},
+              {"attempts", call.state.attempts},
+              {"running", call.state.running}});
+    return;
+  }
   if (!IsKeyStillValid(call, hedge, now)) return;
   if (IsTooLate(call, now)) {
     if (!hedge) {
@@ -283,7 +308,6 @@
           : deps_.rollout->Select(request, call.route->name, call.state.attempts == 0, now);
   if (const auto* chosen = std::get_if<Selection>(&choice)) {
     if (hedge && !retry_budgets_.at(call.service).TryConsume(true, now)) return;
-    Dequeue(call);
     Send(call, *chosen, hedge, now);
     return;
   }
@@ -321,9 +345,8 @@
 }
 
 void Forwarder::WaitForCap(Call& call) {
-  Dequeue(call);
   call.last_wait_reason = "cap";
-  SetTimer(call);
+  EnterPhase(call, WaitsForCap());
   caps_->Wait(*CappedWorkspace(call), call.id);
 }
 
@@ -334,7 +357,7 @@
 
 void Forwarder::OnCapWait(CallId id, bool expired) {
   Call* call = Find(id);
-  if (call == nullptr || call->answered) return;
+  if (call == nullptr || !IsIn<WaitsForCap>(*call)) return;
   const TimePoint now = MonotonicClock::now();
   if (expired && !HasCapToken(*call)) {
     FailOverCap(*call, kCapRetryAfter, now);
@@ -344,11 +367,12 @@
   EraseIfDone(id);
 }
 
-void Forwarder::EnterQueue(const Call& call, TimePoint now) {
+void Forwarder::EnterQueue(Call& call, TimePoint now) {
+  call.queue_entry = ToQueuedCall(call);
   const bool fair = !deps_.config.config().workspaces.empty();
   admission::CallQueue& queue = queues_[call.service];
   queue.SetFairShares(fair);
-  queue.OnArrival(ToQueuedCall(call), now);
+  queue.OnArrival(call.queue_entry, now);
   if (fair && !queue.empty()) DispatchQueued();
 }
 
@@ -365,21 +389,20 @@
              deps_.pool.FirstPauseEnd(call.service, now) - now, now);
     return;
   }
-  if (!call.queued) {
-    const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
-    call.queued = queues_[call.service].TryEnqueue(ToQueuedCall(call), usual_time, now);
-    if (!call.queued) {
-      FailCall(call, FailureCause::kOther, "queue_too_long", RetryAfterFor(call, now), now);
-      return;
-    }
+  if (IsIn<Queued>(call)) {
+    SetTimer(call);
+    return;
   }
-  SetTimer(call);
+  const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
+  if (!queues_[call.service].TryEnqueue(call.queue_entry, usual_time, now)) {
+    FailCall(call, FailureCause::kOther, "queue_too_long", RetryAfterFor(call, now), now);
+    return;
+  }
+  EnterPhase(call, Queued());
 }
 
-void Forwarder::Dequeue(Call& call) {
-  if (!call.queued) return;
-  call.queued = false;
-  queues_[call.service].Remove(ToQueuedCall(call));
+void Forwarder::LeaveQueue(const Call& call) {
+  queues_[call.service].Remove(call.queue_entry.id);
   deps_.metrics.OnQueueWait(MonotonicClock::now() - call.arrived);
 }
 
@@ -390,11 +413,12 @@
   for (auto& [service, queue] : queues_) {
     while (!queue.empty()) {
       const std::size_t before = queue.size();
-      const admission::QueuedCall next =
-          queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now);
-      const CallId id(next.id.value());
+      const admission::CallId next =
+          queue.Next(deps_.pool.ServiceTime(service, kInitialServiceTime), now).id;
+      const CallId id(next.value());
       Call* call = Find(id);
-      if (call == nullptr) {
+      if (call == nullptr || !IsIn<Queued>(*call)) {
+        LogEvent(LogLevel::kError, "queue_entry_without_call", {{"call", id.value()}});
         queue.Remove(next);
         continue;
       }
@@ -439,7 +463,7 @@
   ++call.state.running;
   call.tried.insert(choice.id);
   call.tried_addresses.insert(choice.address);
-  queues_[call.service].OnDispatch(ToQueuedCall(call), now);
+  queues_[call.service].OnDispatch(call.queue_entry, now);
   ExchangeRequest request;
   request.head = WriteServerRequestHead(call.request, call.body->size(), deps_.adapter.headers(),
                                         choice.id, call.deadline - now, call.workspace);
@@ -457,20 +481,24 @@
             {"expected_ms", ToMilliseconds(choice.expected)},
             {"cold", choice.cold},
             {"hedge", hedge}});
-  if (call.state.idempotent && !hedge && call.state.attempts < call.state.max_attempts) {
-    const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
-    call.hedge_at = now + Duration(static_cast<std::int64_t>(
-                              static_cast<double>(usual_time.count()) * kHedgeDelayFactor));
-  }
+  if (!hedge) EnterPhase(call, Running{HedgeTime(call, now)});
   const AttemptId attempt_id = attempt.id;
   const std::shared_ptr<HttpClientConnection> to = attempt.link;
   call.running.push_back(std::move(attempt));
-  SetTimer(call);
   to->Exchange(std::move(request), [this, id = call.id, attempt_id](ExchangeResult answer) {
     OnAttemptEnd(id, attempt_id, std::move(answer));
   });
 }
 
+/// Returns when a second server is asked if the first attempt, sent now, has no answer; never if
+/// the call allows no further attempt.
+TimePoint Forwarder::HedgeTime(const Call& call, TimePoint now) const {
+  if (!call.state.idempotent || !MayStartAttempt(call.state)) return TimePoint::max();
+  const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
+  return now + Duration(static_cast<std::int64_t>(static_cast<double>(usual_time.count()) *
+                                                  kHedgeDelayFactor));
+}
+
 void Forwarder::OnAttemptEnd(CallId id, AttemptId attempt_id, ExchangeResult answer) {
   Call* call = Find(id);
   if (call == nullptr) return;
@@ -498,7 +526,7 @@
   if (end != AttemptOutcome::kAnswered) {
     LogAttemptFailure(*call, attempt, end, answer, now);
   }
-  if (!call->answered) HandleAttemptEnd(*call, end, answer.response, attempt, now);
+  if (!IsIn<Answered>(*call)) HandleAttemptEnd(*call, end, answer.response, attempt, now);
   EraseIfDone(id);
   DispatchQueued();
 }
@@ -580,6 +608,7 @@
       }
       if (retry_budgets_.at(call.service).TryConsume(false, now)) {
         deps_.metrics.OnRetry(AttemptOutcomeName(end));
+        EnterPhase(call, Ready());
         TryDispatch(call, false, now);
         return;
       }
@@ -653,11 +682,8 @@
 }
 
 void Forwarder::Reply(Call& call, std::string head, MessageBody body) {
-  call.answered = true;
-  call.hedge_at = TimePoint::max();
-  Dequeue(call);
+  EnterPhase(call, Answered());
   calls_by_exchange_.erase(call.exchange);
-  SetTimer(call);
   server_->Respond(call.exchange, std::move(head), std::move(body));
 }
 
@@ -690,8 +716,9 @@
 
 void Forwarder::EraseIfDone(CallId id) {
   const auto found = calls_.find(id);
-  if (found == calls_.end() || !found->second->answered || !found->second->running.empty()) return;
-  Dequeue(*found->second);
+  if (found == calls_.end()) return;
+  const Call& call = *found->second;
+  if (!IsIn<Answered>(call) || !call.running.empty()) return;
   timers_.Cancel(id);
   calls_.erase(found);
 }
@@ -712,7 +739,7 @@
 
 Duration Forwarder::RetryAfterFor(const Call& call, TimePoint now) {
   return queues_[call.service].RetryAfterFor(
-      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime),
+      call.queue_entry, deps_.pool.ServiceTime(call.service, kInitialServiceTime),
       std::uniform_real_distribution<double>(0, 1)(random_), now);
 }
 
@@ -721,65 +748,87 @@
   return found == calls_.end() ? nullptr : found->second.get();
 }
 
-void Forwarder::SetTimer(Call& call) {
-  TimePoint due = call.deadline + kDeadlineGrace;
-  if (call.answered) due = call.deadline + kLateAttemptTimeout;
-  if (!call.answered && call.running.empty()) due = call.deadline;
-  if (call.queued) {
-    due = std::min(due, FailTimeOf(call, MonotonicClock::now()));
-  }
-  due = std::min(due, call.hedge_at);
-  if (call.proof_wait_until) due = std::min(due, *call.proof_wait_until);
+void Forwarder::SetTimer(const Call& call) {
+  const TimePoint due =
+      std::visit([&](const auto& phase) { return DueTime(call, phase); }, call.phase);
   timers_.Set(call.id, due);
 }
 
+TimePoint Forwarder::DueTime(const Call& call, const Ready&) const { return call.deadline; }
+
+TimePoint Forwarder::DueTime(const Call& call, const WaitsForProof& phase) const {
+  return std::min(call.deadline, phase.until);
+}
+
+TimePoint Forwarder::DueTime(const Call& call, const Queued&) {
+  return std::min(call.deadline, FailTimeOf(call, MonotonicClock::now()));
+}
+
+TimePoint Forwarder::DueTime(const Call& call, const WaitsForCap&) const { return call.deadline; }
+
+TimePoint Forwarder::DueTime(const Call& call, const Running& phase) const {
+  return std::min<TimePoint>(call.deadline + kDeadlineGrace, phase.hedge_at);
+}
+
+TimePoint Forwarder::DueTime(const Call& call, const Answered&) const {
+  return call.deadline + kLateAttemptTimeout;
+}
+
 void Forwarder::OnCallTimer(CallId id, TimePoint now) {
-  Call* found = Find(id);
-  if (found == nullptr) return;
-  Call& call = *found;
-  if (call.answered) {
-    CancelAttempts(call, AttemptOutcome::kTimedOut, now);
-    EraseIfDone(id);
-    return;
-  }
-  if (call.proof_wait_until) {
-    DecideWaiting(id, false, now);
-    return;
-  }
-  if (call.hedge_at <= now) {
-    call.hedge_at = TimePoint::max();
-    SetTimer(call);
-    if (call.state.attempts < call.state.max_attempts) {
-      TryDispatch(call, true, now);
-      if (call.state.running > 1) deps_.metrics.OnRetry("slow_answer");
-    }
-    return;
-  }
+  Call* call = Find(id);
+  if (call == nullptr) return;
+  // The phase may change while its timer is handled.
+  const Phase expired = call->phase;
+  std::visit([&](const auto& phase) { OnTimer(*call, phase, now); }, expired);
+  EraseIfDone(id);
+}
+
+void Forwarder::OnTimer(Call& call, const Ready&, TimePoint now) {
+  FailCall(call, FailureCause::kTimeout, "queue_time_over", Duration::zero(), now);
+}
+
+void Forwarder::OnTimer(Call& call, const WaitsForProof&, TimePoint now) {
+  DecideWaiting(call.id, false, now);
+}
+
+void Forwarder::OnTimer(Call& call, const Queued&, TimePoint now) {
   if (KeepsWaiting(call, now)) {
     SetTimer(call);
     return;
   }
-  if (call.running.empty()) {
-    const bool overtaken =
-        call.queued && queues_[call.service].has_fair_shares() && FailTimeOf(call, now) > now;
-    FailCall(call, FailureCause::kTimeout, overtaken ? "overtaken_in_queue" : "queue_time_over",
-             RetryAfterFor(call, now), now);
-  } else {
+  const bool overtaken = queues_[call.service].has_fair_shares() && FailTimeOf(call, now) > now;
+  FailCall(call, FailureCause::kTimeout, overtaken ? "overtaken_in_queue" : "queue_time_over",
+           RetryAfterFor(call, now), now);
+}
+
+void Forwarder::OnTimer(Call& call, const WaitsForCap&, TimePoint now) {
+  FailCall(call, FailureCause::kTimeout, "queue_time_over", RetryAfterFor(call, now), now);
+}
+
+void Forwarder::OnTimer(Call& call, const Running& phase, TimePoint now) {
+  if (phase.hedge_at > now) {
     FailCall(call, FailureCause::kTimeout, "no_answer_in_time", Duration::zero(), now);
+    return;
   }
-  EraseIfDone(id);
+  EnterPhase(call, Running());
+  TryDispatch(call, true, now);
+  if (call.state.running > 1) deps_.metrics.OnRetry("slow_answer");
+}
+
+void Forwarder::OnTimer(Call& call, const Answered&, TimePoint now) {
+  CancelAttempts(call, AttemptOutcome::kTimedOut, now);
 }
 
 bool Forwarder::KeepsWaiting(const Call& call, TimePoint now) {
   const admission::CallQueue& queue = queues_[call.service];
-  if (!call.queued || !queue.has_fair_shares()) return false;
+  if (!queue.has_fair_shares()) return false;
   const Duration usual_time = deps_.pool.ServiceTime(call.service, kInitialServiceTime);
-  return FailTimeOf(call, now) > now && queue.ShouldKeep(ToQueuedCall(call), usual_time, now);
+  return FailTimeOf(call, now) > now && queue.ShouldKeep(call.queue_entry, usual_time, now);
 }
 
 TimePoint Forwarder::FailTimeOf(const Call& call, TimePoint now) {
   return queues_[call.service].FailTime(
-      ToQueuedCall(call), deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
+      call.queue_entry, deps_.pool.ServiceTime(call.service, kInitialServiceTime), now);
 }
 
 void Forwarder::Sweep(TimePoint now) { links_.Sweep(now); }
@@ -787,7 +836,7 @@
 void Forwarder::FailAll(TimePoint now) {
   std::vector<CallId> unanswered;
   for (const auto& [id, call] : calls_) {
-    if (!call->answered) unanswered.push_back(id);
+    if (!IsIn<Answered>(*call)) unanswered.push_back(id);
   }
   for (const CallId id : unanswered) {
     Call* found = Find(id);
--- a/src/libgateway/forwarder.h
+++ b/src/libgateway/forwarder.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "libadmission/admission.h"
@@ -94,6 +95,24 @@
     AttemptContext context;
     std::shared_ptr<HttpClientConnection> link;
   };
+  /// The next step of the call is being decided.
+  struct Ready {};
+  /// The call waits for a proof that the configuration is the newest.
+  struct WaitsForProof {
+    TimePoint until;
+  };
+  /// The call waits in the queue of its service.
+  struct Queued {};
+  /// The call waits for a token of its workspace's rate limit.
+  struct WaitsForCap {};
+  /// At least one attempt is running.
+  struct Running {
+    TimePoint hedge_at = TimePoint::max();
+  };
+  /// The caller has its response or is gone; only late attempts remain.
+  struct Answered {};
+  /// A call is in one phase at a time, and only EnterPhase changes it.
+  using Phase = std::variant<Ready, WaitsForProof, Queued, WaitsForCap, Running, Answered>;
   struct Call {
     CallId id;
     ExchangeId exchange = 0;
@@ -105,16 +124,14 @@
     TimePoint arrived;
     TimePoint deadline;
     std::uint32_t priority = 0;  ///< The workspace's if it has one, else the route's.
-    WorkspaceHeaders workspace;
-    /// The call waits until then for a proof that the configuration is the newest.
-    std::optional<TimePoint> proof_wait_until;
+    WorkspaceHeaders workspace;  ///< Of the configuration by which the key was last checked.
+    /// What the queue knows of the call, from EnterQueue on. Unlike `workspace` it never changes.
+    admission::QueuedCall queue_entry;
+    Phase phase;
     CallState state;
     std::set<ServerName> tried;
     std::set<std::string> tried_addresses;
     std::vector<Attempt> running;
-    TimePoint hedge_at = TimePoint::max();
-    bool answered = false;  ///< The caller has its response; only late attempts remain.
-    bool queued = false;
     const char* last_wait_reason = "";
   };
   enum class FailureCause { kTimeout, kOverCap, kOther };
@@ -126,6 +143,12 @@
   void RefuseKey(const Call& call, const KeyDecision& decision, TimePoint now);
   bool IsKeyStillValid(Call& call, bool hedge, TimePoint now);
   bool IsTooLate(const Call& call, TimePoint now) const;
+  void EnterPhase(Call& call, Phase phase);
+  template <class P>
+  static bool IsIn(const Call& call) {
+    return std::holds_alternative<P>(call.phase);
+  }
+  static bool MaySend(const Call& call, bool hedge);
   void TryDispatch(Call& call, bool hedge, TimePoint now);
   bool CheckCap(Call& call, bool hedge, TimePoint now);
   /// The call's workspace if rate limits are enforced, else null.
@@ -135,15 +158,16 @@
   void WaitForCap(Call& call);
   void FailOverCap(Call& call, Duration retry_after, TimePoint now);
   /// Counts the call's arrival and lets those that already wait go first.
-  void EnterQueue(const Call& call, TimePoint now);
+  void EnterQueue(Call& call, TimePoint now);
   /// True when a queued call whose timer expired may wait on.
   bool KeepsWaiting(const Call& call, TimePoint now);
   TimePoint FailTimeOf(const Call& call, TimePoint now);
   void Enqueue(Call& call, NoServerReason reason, TimePoint now);
-  void Dequeue(Call& call);
+  void LeaveQueue(const Call& call);
   Result<std::shared_ptr<HttpClientConnection>> ConnectionFor(const Call& call,
                                                               const std::string& address);
   void Send(Call& call, const Selection& choice, bool hedge, TimePoint now);
+  TimePoint HedgeTime(const Call& call, TimePoint now) const;
   void OnAttemptEnd(CallId id, AttemptId attempt, ExchangeResult answer);
   void LogAttemptFailure(const Call& call, const Attempt& attempt, AttemptOutcome end,
                          const ExchangeResult& answer, TimePoint now) const;
@@ -167,12 +191,24 @@
   static admission::QueuedCall ToQueuedCall(const Call& call);
   Duration RetryAfterFor(const Call& call, TimePoint now);
 
-  void SetTimer(Call& call);
+  void SetTimer(const Call& call);
+  TimePoint DueTime(const Call& call, const Ready& phase) const;
+  TimePoint DueTime(const Call& call, const WaitsForProof& phase) const;
+  TimePoint DueTime(const Call& call, const Queued& phase);
+  TimePoint DueTime(const Call& call, const WaitsForCap& phase) const;
+  TimePoint DueTime(const Call& call, const Running& phase) const;
+  TimePoint DueTime(const Call& call, const Answered& phase) const;
   void OnCallTimer(CallId id, TimePoint now);
+  void OnTimer(Call& call, const Ready& phase, TimePoint now);
+  void OnTimer(Call& call, const WaitsForProof& phase, TimePoint now);
+  void OnTimer(Call& call, const Queued& phase, TimePoint now);
+  void OnTimer(Call& call, const WaitsForCap& phase, TimePoint now);
+  void OnTimer(Call& call, const Running& phase, TimePoint now);
+  void OnTimer(Call& call, const Answered& phase, TimePoint now);
 
   Dependencies deps_;
   KeyGate key_gate_{deps_.config};
-  /// Calls with Call::proof_wait_until.
+  /// Calls in the phase WaitsForProof.
   std::set<CallId> waiting_for_proof_;
   CallerServer* server_ = nullptr;
   CapGate* caps_ = nullptr;
--- a/src/libgateway/retry_policy.cc
+++ b/src/libgateway/retry_policy.cc
@@ -31,6 +31,12 @@
          end == AttemptOutcome::kConnectFailed || end == AttemptOutcome::kNotSent;
 }
 
+bool MayStartAttempt(const CallState& call) {
+  if (call.attempts == 0) return true;
+  const bool run_again = call.idempotent || (call.running == 0 && !call.may_have_run);
+  return run_again && call.attempts < call.max_attempts;
+}
+
 NextStep DecideNextStep(const CallState& call, AttemptOutcome end) {
   if (end == AttemptOutcome::kAnswered) return NextStep::kRelay;
   const bool run_again = call.idempotent || (ProvesNotRun(end) && !call.may_have_run);
--- a/src/libgateway/retry_policy.h
+++ b/src/libgateway/retry_policy.h
@@ -37,6 +37,10 @@
   bool may_have_run = false;
 };
 
+/// True when a first or further attempt may start: attempts are left and, unless the call is
+/// idempotent, no earlier one runs or may have run. Thread safety: any thread.
+bool MayStartAttempt(const CallState& call);
+
 /// What to do next with a call.
 enum class NextStep {
   kRelay,  ///< Relay the server's response to the caller.
--- a/tests/admission/call_queue_test.cc
+++ b/tests/admission/call_queue_test.cc
@@ -67,5 +67,21 @@
   CHECK(!queue.ShouldKeep(call, kServiceTime, review));
 }
 
+// Guards against an entry that stays behind in one of the queue's orders and is returned again.
+TEST_CASE("a call that is removed is gone from both orders, whatever becomes of its workspace") {
+  CallQueue queue = BusyQueue();
+  REQUIRE(Enqueue(queue, CallOf(1, "small"), start_time));
+  REQUIRE(Enqueue(queue, CallOf(2, "large"), start_time));
+  queue.Remove(CallId(1));
+  queue.Remove(CallId(1));
+  for (const bool fair : {true, false}) {
+    queue.SetFairShares(fair);
+    CHECK(queue.size() == 1);
+    CHECK(queue.Next(kServiceTime, start_time).id == CallId(2));
+  }
+  queue.Remove(CallId(2));
+  CHECK(queue.empty());
+}
+
 }  // namespace
 }  // namespace mulberry::admission
--- a/tests/gateway/forwarder_caps_test.cc
+++ b/tests/gateway/forwarder_caps_test.cc
@@ -128,5 +128,26 @@
   WaitForText("HTTP/1.1 200");
 }
 
+/// Guards against two ways to a send at once: the hedge timer of an earlier attempt, and the token.
+TEST_CASE_FIXTURE(CapsFixture, "a retry that waits for a token is sent once when the token comes") {
+  gate.tokens = 1;
+  gate.without_token = CapDecision::Step::kWait;
+  SendKeyed("GET", "/read/x");
+  NextServerConnection()->Close();
+  REQUIRE(RunUntil(io, [&] { return gate.waiting.size() == 1; }));
+  gate.tokens = 5;
+  RunFor(io, milliseconds(150));
+  CHECK(RequestsAtServers() == 1);
+  forwarder.OnCapWait(gate.waiting.front(), false);
+  const auto connection = NextServerConnection();
+  // A second message about the token, as after a change of the limits, changes nothing.
+  forwarder.OnCapWait(gate.waiting.front(), true);
+  RunFor(io, milliseconds(20));
+  CHECK(RequestsAtServers() == 2);
+  CHECK(gate.tokens == 4);
+  connection->Write(Answer(200, "done"));
+  WaitForText("HTTP/1.1 200");
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
--- a/tests/gateway/overload_model.cc
+++ b/tests/gateway/overload_model.cc
@@ -139,7 +139,7 @@
         queue_.ShouldKeep(caller.call, usual, now)) {
       continue;
     }
-    queue_.Remove(caller.call);
+    queue_.Remove(caller.call.id);
     callers_.erase(caller.call.id.value());
     Refuse(caller, now);
   }
@@ -151,7 +151,7 @@
         queue_.Next(pool_.ServiceTime(search_service, milliseconds(60)), now);
     const Caller caller = callers_.at(next.id.value());
     if (!TryDispatch(caller, now)) return;
-    queue_.Remove(next);
+    queue_.Remove(next.id);
   }
 }
 
--- a/tests/gateway/placement_model.cc
+++ b/tests/gateway/placement_model.cc
@@ -136,7 +136,7 @@
     const bool expired = now_ > admission::QueueDeadline(host.queue.PositionOf(next, usual, now_));
     if (!expired && !Dispatch(host, host.waiting.at(next.id))) return;
     if (expired) ++result_.refused;
-    host.queue.Remove(next);
+    host.queue.Remove(next.id);
     host.waiting.erase(next.id);
   }
 }
--- a/tests/gateway/retry_policy_test.cc
+++ b/tests/gateway/retry_policy_test.cc
@@ -54,5 +54,21 @@
   CHECK(FailureStatus(true, true) == 504);
 }
 
+/// Guards against a further attempt of a call that is running, may have run, or has none left.
+TEST_CASE("a further attempt needs one that is left and, unless idempotent, proof of no run") {
+  CallState call{.idempotent = false, .attempts = 0, .max_attempts = 3};
+  CHECK(MayStartAttempt(call));
+  call.attempts = 1;
+  CHECK(MayStartAttempt(call));
+  for (const bool idempotent : {false, true}) {
+    call = {.idempotent = idempotent, .attempts = 1, .max_attempts = 3, .running = 1};
+    CHECK(MayStartAttempt(call) == idempotent);
+    call = {.idempotent = idempotent, .attempts = 1, .max_attempts = 3, .may_have_run = true};
+    CHECK(MayStartAttempt(call) == idempotent);
+    call = {.idempotent = idempotent, .attempts = 3, .max_attempts = 3};
+    CHECK_FALSE(MayStartAttempt(call));
+  }
+}
+
 }  // namespace
 }  // namespace mulberry::gateway
