Entry hosts: answers that are being received share one memory budget

What callers see: a faulty server that sends bytes without an end is kept in memory up to 4 MiB an answer, on each connection at once.

The largest came from a buffer of 4 MiB that was reserved for any stated length.

Change: - The gateway's MemoryBudget moves to libbase and also limits the answers that HttpClient is receiving: `[limits] answer_memory_bytes`, 64 MiB. Large answers get 85 % of it, so small ones of sound servers still fit. Header lines count with the memory that libcurl and the answer need for them. - An answer whose head shows that it cannot be used (no length, or one beyond the limit) is given up there. - libcurl keeps the head of the last answer on an idle handle, so handles with large heads are not kept. - `server_answer_failed` logs why an answer was given up.

The gateway had such a budget.

--- a/src/libbase/base.h
+++ b/src/libbase/base.h
@@ -1,9 +1,10 @@
 #pragma once
 
-/// Public header of libbase: identifiers, units, errors, hashing and log lines.
-#include "libbase/error.h"  // IWYU pragma: export
-#include "libbase/hash.h"   // IWYU pragma: export
-#include "libbase/ids.h"    // IWYU pragma: export
-#include "libbase/log.h"    // IWYU pragma: export
-#include "libbase/text.h"   // IWYU pragma: export
-#include "libbase/units.h"  // IWYU pragma: export
+/// Public header of libbase: identifiers, units, errors, hashing, log lines and memory budgets.
+#include "libbase/error.h"          // IWYU pragma: export
+#include "libbase/hash.h"           // IWYU pragma: export
+#include "libbase/ids.h"            // IWYU pragma: export
+#include "libbase/log.h"            // IWYU pragma: export
+#include "libbase/memory_budget.h"  // IWYU pragma: export
+#include "libbase/text.h"           // IWYU pragma: export
+#include "libbase/units.h"          // IWYU pragma: export
--- a/src/libgateway/memory_budget.cc
+++ b/src/libbase/memory_budget.cc
@@ -1,10 +1,10 @@
-#include "libgateway/memory_budget.h"
+#include "libbase/memory_budget.h"
 
 #include <bit>
 #include <iterator>
 #include <utility>
 
-namespace mulberry::gateway {
+namespace mulberry {
 namespace {
 
 /// Parts of the limit, in percent: what is used by the time that a request or a large response
@@ -96,4 +96,4 @@
   return reservation;
 }
 
-}  // namespace mulberry::gateway
+}  // namespace mulberry
--- a/src/libgateway/memory_budget.h
+++ b/src/libbase/memory_budget.h
@@ -5,7 +5,7 @@
 #include <list>
 #include <memory>
 
-namespace mulberry::gateway {
+namespace mulberry {
 
 class MemoryBudget;
 
@@ -89,4 +89,4 @@
   std::list<Slab> full_slabs_;
 };
 
-}  // namespace mulberry::gateway
+}  // namespace mulberry
--- a/src/libconfig/settings.cc
+++ b/src/libconfig/settings.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kMaxSecretBytes = 128;
 /// Minimum ratio of the lease time to the heartbeat interval.
 constexpr int kMinHeartbeatsPerLease = 3;
+/// Room for an answer of the largest size while its buffer grows.
+constexpr std::uint64_t kMinAnswerMemory = std::uint64_t{16} << 20;
+constexpr std::uint64_t kMaxAnswerMemory = std::uint64_t{4} << 30;
 
 ValueParser SecretParser(std::string* target) {
   return [target](const std::string& text) -> std::string {
@@ -57,6 +60,8 @@
        CountParser(0, 64 << 20, "bytes", &settings->max_body_bytes)},
       {"limits", "max_head_bytes", false,
        CountParser(1024, 1 << 20, "bytes", &settings->max_head_bytes)},
+      {"limits", "answer_memory_bytes", false,
+       CountParser(kMinAnswerMemory, kMaxAnswerMemory, "bytes", &settings->answer_memory_bytes)},
       {"limits", "head_timeout_ms", false,
        MillisecondsParser(100, 60'000, &settings->head_timeout)},
       {"limits", "default_deadline_ms", false,
--- a/src/libconfig/settings.h
+++ b/src/libconfig/settings.h
@@ -34,6 +34,8 @@
   std::uint32_t max_requests = 4000;  ///< Maximum number of concurrent requests.
   std::size_t max_body_bytes = 1024 * 1024;
   std::size_t max_head_bytes = 16 * 1024;
+  /// Memory of all answers that are being received from backend servers, in bytes.
+  std::size_t answer_memory_bytes = 64 * 1024 * 1024;
   Duration head_timeout = std::chrono::seconds(5);
   Duration default_deadline = std::chrono::seconds(2);
   Duration max_deadline = std::chrono::seconds(5);
--- a/src/libgateway/message_body.h
+++ b/src/libgateway/message_body.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "libgateway/memory_budget.h"
+#include "libbase/base.h"
 
 namespace mulberry::gateway {
 
--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -18,7 +18,16 @@
 
 /// Limit for the status line and headers of an answer.
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
+/// Memory for a header line besides its text: its entry in the answer's list, which has room for up
+/// to three times its entries while it grows, and libcurl's own record with two allocations.
+constexpr std::size_t kHeaderLineMemory =
+    3 * sizeof(decltype(HttpAnswer::headers)::value_type) + 128;
+/// Copies of a header line's text: libcurl's and the answer's.
+constexpr std::size_t kHeaderTextCopies = 2;
 constexpr std::size_t kMaxIdleExchanges = 512;
+/// libcurl keeps the header lines of the last answer, so an exchange with more of them than usual
+/// is not kept.
+constexpr std::size_t kMaxIdleHeadMemory = 16 * 1024;
 
 bool HasControlCharacter(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char character) {
@@ -64,6 +73,8 @@
   void Clear();
 
   CURL* easy() const { return easy_; }
+  /// Estimated memory of the head of the last answer, in bytes.
+  std::size_t head_memory() const { return head_memory_; }
   HttpClient::Handle id = 0;
   HttpClient::Callback done;
 
@@ -72,6 +83,8 @@
   std::string SetHeaders();
   bool AppendHeader(const std::string& line);
   void SetBody();
+  bool ReserveMemory(std::size_t body_bytes);
+  bool AcceptHead();
   void OnHeaderLine(std::string_view line);
   void OnStatusLine(std::string_view line);
   void OnHeaderField(std::string_view line);
@@ -79,6 +92,7 @@
   std::string_view RequestIdValue() const;
   HttpEnd ToHttpEnd(CURLcode code) const;
   bool IsBodyEndKnown() const;
+  bool HasBody() const;
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self);
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* self);
@@ -90,13 +104,17 @@
   HttpRequest request_;
   std::string target_;
   HttpAnswer answer_;
+  MemoryReservation memory_;
   std::size_t head_bytes_ = 0;
+  std::size_t head_memory_ = 0;
+  std::size_t stated_length_ = 0;
   std::uint32_t send_count_ = 0;
   bool idempotent_ = true;
   bool has_body_framing_ = false;
   /// libcurl reports no error for a connection that closes within the head if no body is expected.
   bool head_complete_ = false;
   bool too_large_ = false;
+  bool no_memory_ = false;
   bool for_other_request_ = false;
   std::array<char, CURL_ERROR_SIZE> error_{};
 };
@@ -191,11 +209,13 @@
   if (answer.end == HttpEnd::kAnswered) return answer;
   if (too_large_) {
     answer.error = "answer too large";
+  } else if (no_memory_) {
+    answer.error = "no memory for the answer";
   } else if (for_other_request_) {
     answer.error = "answer to another request";
   } else if (code == CURLE_OK && !head_complete_) {
     answer.error = "answer cut off within its head";
-  } else if (code == CURLE_OK) {
+  } else if (head_complete_ && !IsBodyEndKnown()) {
     answer.error = "answer with neither Content-Length nor chunked encoding";
   } else {
     answer.error = error_[0] != 0 ? error_.data() : curl_easy_strerror(code);
@@ -214,9 +234,10 @@
 }
 
 /// A body that ends with the connection can't be distinguished from a truncated one.
-bool Exchange::IsBodyEndKnown() const {
-  return has_body_framing_ || answer_.status == 204 || answer_.status == 304 ||
-         request_.method == "HEAD";
+bool Exchange::IsBodyEndKnown() const { return has_body_framing_ || !HasBody(); }
+
+bool Exchange::HasBody() const {
+  return answer_.status != 204 && answer_.status != 304 && request_.method != "HEAD";
 }
 
 void Exchange::Clear() {
@@ -229,11 +250,15 @@
   answer_ = HttpAnswer();
   done = nullptr;
   id = 0;
+  memory_.Release();
   head_bytes_ = 0;
+  head_memory_ = 0;
+  stated_length_ = 0;
   send_count_ = 0;
   has_body_framing_ = false;
   head_complete_ = false;
   too_large_ = false;
+  no_memory_ = false;
   for_other_request_ = false;
   error_[0] = 0;
 }
@@ -249,6 +274,7 @@
 /// Discards headers collected so far: they belong to an interim (1xx) response.
 void Exchange::OnStatusLine(std::string_view line) {
   answer_.headers.clear();
+  stated_length_ = 0;
   has_body_framing_ = false;
   head_complete_ = false;
   const std::size_t space = line.find(' ');
@@ -264,9 +290,7 @@
   std::string value(Trim(line.substr(colon + 1)));
   if (name == "content-length") {
     has_body_framing_ = true;
-    std::size_t length = 0;
-    std::from_chars(value.data(), value.data() + value.size(), length);
-    answer_.body.reserve(std::min(length, request_.max_answer_bytes));
+    std::from_chars(value.data(), value.data() + value.size(), stated_length_);
   }
   if (name == "transfer-encoding") has_body_framing_ = true;
   if (!request_.id_header.empty() && name == request_.id_header && value != RequestIdValue()) {
@@ -282,6 +306,29 @@
   return {};
 }
 
+/// Reserves the memory of the head and of `body_bytes`. Returns false when there is none.
+bool Exchange::ReserveMemory(std::size_t body_bytes) {
+  if (request_.answer_memory == nullptr) return true;
+  no_memory_ = !request_.answer_memory->TryGrow(memory_, head_memory_ + body_bytes,
+                                                MemoryBudget::Use::kResponse);
+  return !no_memory_;
+}
+
+/// Decides by the complete head whether the body is received. An interim (1xx) response has none.
+bool Exchange::AcceptHead() {
+  const bool is_interim = answer_.status >= 100 && answer_.status < 200;
+  if (is_interim) return true;
+  if (!IsBodyEndKnown()) return false;
+  if (!HasBody()) return true;
+  if (stated_length_ > request_.max_answer_bytes) {
+    too_large_ = true;
+    return false;
+  }
+  if (!ReserveMemory(stated_length_)) return false;
+  answer_.body.reserve(stated_length_);
+  return true;
+}
+
 std::size_t Exchange::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
   auto* exchange = static_cast<Exchange*>(self);
   const std::size_t bytes = size * count;
@@ -289,7 +336,15 @@
     exchange->too_large_ = true;
     return 0;
   }
-  exchange->answer_.body.append(data, bytes);
+  std::string& body = exchange->answer_.body;
+  if (body.size() + bytes > body.capacity()) {
+    // While the buffer grows, its old and its new memory are held.
+    const std::size_t doubled = std::min(2 * body.capacity(), exchange->request_.max_answer_bytes);
+    const std::size_t grown = std::max(body.size() + bytes, doubled);
+    if (!exchange->ReserveMemory(body.capacity() + grown)) return 0;
+    body.reserve(grown);
+  }
+  body.append(data, bytes);
   return bytes;
 }
 
@@ -297,13 +352,18 @@
   auto* exchange = static_cast<Exchange*>(self);
   const std::size_t bytes = size * count;
   exchange->head_bytes_ += bytes;
+  exchange->head_memory_ += kHeaderTextCopies * bytes + kHeaderLineMemory;
   if (exchange->head_bytes_ > kMaxHeadBytes) {
     exchange->too_large_ = true;
     return 0;
   }
-  exchange->OnHeaderLine(std::string_view(data, bytes));
   // Anything but `bytes` ends the transfer, and libcurl then closes the connection.
-  return exchange->for_other_request_ ? 0 : bytes;
+  if (!exchange->ReserveMemory(exchange->answer_.body.capacity())) return 0;
+  const bool is_trailer = exchange->head_complete_;
+  exchange->OnHeaderLine(std::string_view(data, bytes));
+  if (exchange->for_other_request_) return 0;
+  const bool ends_head = exchange->head_complete_ && !is_trailer;
+  return ends_head && !exchange->AcceptHead() ? 0 : bytes;
 }
 
 /// Called by libcurl immediately before each send of the request. Aborts a resend of a
@@ -357,7 +417,7 @@
   }
 
   void ReleaseExchange(std::unique_ptr<Exchange> exchange) {
-    if (idle_.size() >= kMaxIdleExchanges) return;
+    if (idle_.size() >= kMaxIdleExchanges || exchange->head_memory() > kMaxIdleHeadMemory) return;
     exchange->Clear();
     idle_.push_back(std::move(exchange));
   }
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -37,6 +37,9 @@
   std::string id_header;
   /// Maximum size of an answer body, in bytes; a larger one gives kBroken.
   std::size_t max_answer_bytes = 4 * 1024 * 1024;
+  /// Budget for the answer while it is received; one that does not fit gives kBroken. Must outlive
+  /// the exchange. Null: only the size of each answer is limited.
+  MemoryBudget* answer_memory = nullptr;
 };
 
 /// Result of an exchange: the answer if `end` is kAnswered, otherwise an error text.
@@ -54,8 +57,8 @@
 /// HTTP/1.1 client over libcurl's multi interface on an Asio io_context, with persistent
 /// connections. A non-idempotent request is sent at most once: it gets a new connection, since
 /// libcurl resends a request when a reused connection turns out to be closed. An answer with
-/// neither Content-Length nor chunked encoding is kBroken, since its end can't be distinguished
-/// from a broken connection. Not thread safe: use it on the thread that runs the io_context, which
+/// neither Content-Length nor chunked encoding is kBroken as soon as its head has arrived, since its
+/// end can't be distinguished from a broken connection. Not thread safe: use it on the thread that runs the io_context, which
 /// must outlive it.
 class HttpClient {
  public:
--- a/src/mulberryd/entry_node.cc
+++ b/src/mulberryd/entry_node.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
+/// Answers to probes have less than 1 KiB.
+constexpr std::size_t kMaxProbeAnswerBytes = 16 * 1024;
 /// Delay between the end of draining and the process exit, so that the last messages to other
 /// hosts are sent.
 constexpr Duration kFlushDelay = std::chrono::milliseconds(50);
@@ -58,6 +60,7 @@
       metrics_(),
       metrics_observer_(metrics_),
       host_(MakeEntryOptions(settings, start), metrics_observer_, Now()),
+      answer_memory_(settings.answer_memory_bytes),
       http_client_(io),
       platform_client_(http_client_, settings.platform_address, settings.platform_timeout),
       peer_socket_(io, Incarnation{settings.host, start},
@@ -251,13 +254,19 @@
 void EntryNode::ExecuteAction(SendToServer& action) {
   const DispatchId dispatch = action.dispatch;
   const bool idempotent = action.idempotent;
+  HttpRequest request = MakeServerRequest(std::move(action));
+  request.answer_memory = &answer_memory_;
   server_requests_[dispatch] = http_client_.Start(
-      MakeServerRequest(std::move(action)), idempotent,
+      std::move(request), idempotent,
       [this, dispatch](HttpAnswer answer) { OnServerAnswer(dispatch, std::move(answer)); });
 }
 
 void EntryNode::OnServerAnswer(DispatchId dispatch, HttpAnswer answer) {
   server_requests_.erase(dispatch);
+  if (!answer.error.empty()) {
+    LogEvent(LogLevel::kInfo, "server_answer_failed",
+             {{"dispatch", dispatch.value()}, {"error", answer.error}});
+  }
   ServerReply reply = ParseServerAnswer(dispatch, std::move(answer));
   HandleEvent([&](Instant now, EntryActions& actions) {
     host_.OnServerReply(std::move(reply), now, actions);
@@ -284,6 +293,8 @@
   HttpRequest request;
   request.url = "http://" + action.address + "/load";
   request.timeout = kProbeTimeout;
+  request.max_answer_bytes = kMaxProbeAnswerBytes;
+  request.answer_memory = &answer_memory_;
   http_client_.Start(
       std::move(request), true,
       [this, server = action.server](const HttpAnswer& answer) { OnProbeAnswer(server, answer); });
--- a/src/mulberryd/entry_node.h
+++ b/src/mulberryd/entry_node.h
@@ -78,6 +78,8 @@
   Metrics metrics_;
   MetricsObserver metrics_observer_;
   EntryHost host_;
+  /// For the answers of backend servers.
+  MemoryBudget answer_memory_;
   HttpClient http_client_;
   PlatformClient platform_client_;
   PeerSocket peer_socket_;
--- a/tests/gateway/memory_budget_test.cc
+++ b/tests/gateway/memory_budget_test.cc
@@ -1,4 +1,4 @@
-#include "libgateway/memory_budget.h"
+#include "libbase/memory_budget.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/mulberryd/entry_hosts.cc
+++ b/tests/mulberryd/entry_hosts.cc
@@ -102,20 +102,13 @@
     hosts_.push_back(std::move(host));
   }
   StartPlatform();
-  nlohmann::json list;
   for (const Host& host : hosts_) {
-    list["entry_hosts"].push_back({{"name", host.name},
-                                   {"dc", "a"},
-                                   {"http", LocalAddress(host.caller_port)},
-                                   {"peer", LocalAddress(host.peer_port)}});
+    host_list_["entry_hosts"].push_back({{"name", host.name},
+                                         {"dc", "a"},
+                                         {"http", LocalAddress(host.caller_port)},
+                                         {"peer", LocalAddress(host.peer_port)}});
   }
-  list["backend_servers"].push_back({{"name", "s-1"},
-                                     {"service", "svc"},
-                                     {"dc", "a"},
-                                     {"address", LocalAddress(server_port)},
-                                     {"slots", 64},
-                                     {"connections", 200}});
-  Post("/admin/hosts", list.dump());
+  AddServer("s-1", LocalAddress(server_port), 64);
   Post(std::string("/log/") + kConfigStream, ClassRecord());
   for (Host& host : hosts_) StartHost(host);
   for (std::size_t i = 0; i < kHosts; ++i) {
@@ -152,12 +145,23 @@
                       << "\nheartbeat_interval_ms = 50\nlease_time_ms = 500"
                       << "\naddress_ttl_ms = " << kAddressTtl.count()
                       << "\n[limits]\nhead_timeout_ms = " << kHeadTimeout.count()
+                      << "\nanswer_memory_bytes = " << kAnswerMemory
                       << "\ndefault_deadline_ms = 2000\nmax_deadline_ms = 3000"
                       << "\n[policy]\ncold_slots = 64\n";
   REQUIRE(host.process.Start({Program("mulberryd"), "--config", file},
                              folder_ + "/" + host.name + ".log"));
 }
 
+void EntryHosts::AddServer(const std::string& name, const std::string& address, int slots) {
+  host_list_["backend_servers"].push_back({{"name", name},
+                                           {"service", "svc"},
+                                           {"dc", "a"},
+                                           {"address", address},
+                                           {"slots", slots},
+                                           {"connections", 200}});
+  Post("/admin/hosts", host_list_.dump());
+}
+
 void EntryHosts::Post(const std::string& path, const std::string& body) {
   const std::string url = "http://" + LocalAddress(platform_port_) + path;
   REQUIRE(Exchange(io_, client_, mulberry::Post(url, body), false).status == 200);
--- a/tests/mulberryd/entry_hosts.h
+++ b/tests/mulberryd/entry_hosts.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,6 +46,9 @@
   static constexpr std::chrono::milliseconds kAddressTtl{300};
   static constexpr std::chrono::milliseconds kHeadTimeout{1500};
 
+  /// Setting `answer_memory_bytes`.
+  static constexpr std::size_t kAnswerMemory = 16 * 1024 * 1024;
+
   /// Returns after every host has answered a request of a caller.
   EntryHosts();
   ~EntryHosts();
@@ -58,6 +62,9 @@
   scenario::ChildProcess& process(std::size_t host) { return hosts_[host].process; }
   scenario::ChildProcess& platform() { return platform_; }
 
+  /// Lists a further backend server of class "lookup". `address` is "ip:port".
+  void AddServer(const std::string& name, const std::string& address, int slots);
+
   /// Returns the head of a request of class "lookup" without its last line end.
   static std::string RequestHead(std::chrono::milliseconds work, std::size_t bytes = 0);
   std::string UrlOf(std::size_t host, std::chrono::milliseconds work) const;
@@ -85,6 +92,7 @@
   std::uint16_t platform_port_ = 0;
   scenario::ChildProcess platform_;
   std::vector<Host> hosts_;
+  nlohmann::json host_list_;
 };
 
 /// Callers that go on sending to one host, each its next request when the last one has ended, until
--- a/tests/scenarios/runner/child_process.cc
+++ b/tests/scenarios/runner/child_process.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <utility>
 
 namespace mulberry::scenario {
@@ -86,4 +87,12 @@
   return false;
 }
 
+std::size_t ChildProcess::PeakKilobytes() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:")) return std::stoul(line.substr(6));
+  }
+  return 0;
+}
+
 }  // namespace mulberry::scenario
--- a/tests/scenarios/runner/child_process.h
+++ b/tests/scenarios/runner/child_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,6 +33,9 @@
   /// Process id, -1 when its end has been seen.
   pid_t pid() const { return pid_; }
 
+  /// The most memory that it has held, in kilobytes; zero when it has ended.
+  std::size_t PeakKilobytes() const;
+
   /// Exit status, or minus the signal that ended it; nothing before it has ended.
   std::optional<int> exit_status() const { return exit_status_; }
 
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "endless_server.h"
 #include "loopback.h"
 
 namespace mulberry {
@@ -77,6 +78,75 @@
   }
 }
 
+// Guards against answers that are limited one by one and together take all memory.
+TEST_CASE("answers that are being received take no more than their budget together") {
+  asio::io_context io;
+  MemoryBudget memory(std::size_t{16} << 20);
+  HttpClient client(io);
+  std::string answer;
+  std::string error = "no memory for the answer";
+  SUBCASE("a stated length") { answer = "HTTP/1.1 200 OK\r\nContent-Length: 4194304\r\n\r\npart"; }
+  SUBCASE("header lines") {
+    answer = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < 15'000; ++i) answer += "a:\r\n";
+  }
+  SUBCASE("chunks") {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n" +
+             std::string(std::size_t{2} << 20, 'z');
+  }
+  EndlessServer server(io, [&](const std::string& request) -> EndlessServer::Answer {
+    if (request.starts_with("GET /sound ")) return {kOk, "", {}};
+    return {answer, "", {}};
+  });
+  HttpRequest request = Get("http://" + server.address() + "/faulty");
+  request.answer_memory = &memory;
+  request.timeout = std::chrono::seconds(3);
+  int ended = 0;
+  int without_memory = 0;
+  constexpr int kExchanges = 40;
+  for (int i = 0; i < kExchanges; ++i) {
+    client.Start(request, true, [&](const HttpAnswer& failed) {
+      ++ended;
+      CHECK(failed.end != HttpEnd::kAnswered);
+      if (failed.error == error) ++without_memory;
+    });
+  }
+  std::size_t most_used = 0;
+  const auto watch = [&] {
+    most_used = std::max(most_used, memory.used());
+    return without_memory > 0;
+  };
+  CHECK(RunUntil(io, watch));
+  // The last part of the budget is for small answers.
+  HttpRequest sound = Get("http://" + server.address() + "/sound");
+  sound.answer_memory = &memory;
+  CHECK(Exchange(io, client, sound).end == HttpEnd::kAnswered);
+  CHECK(RunUntil(io, [&] {
+    watch();
+    return ended == kExchanges;
+  }));
+  CHECK(most_used > std::size_t{8} << 20);
+  CHECK(most_used <= std::size_t{16} << 20);
+  CHECK(memory.used() == 0);
+}
+
+// Guards against an answer that is kept although its head shows that it cannot be used.
+TEST_CASE("an answer without an end is given up at its head") {
+  asio::io_context io;
+  HttpClient client(io);
+  EndlessServer::Answer answer{"", std::string(1024, 'z'), {}};
+  SUBCASE("no length") { answer.first = "HTTP/1.1 200 OK\r\n\r\n"; }
+  SUBCASE("a length beyond the limit") {
+    answer.first = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n";
+  }
+  EndlessServer server(io, [&](const std::string&) { return answer; });
+  HttpRequest request = Get("http://" + server.address() + "/");
+  request.timeout = std::chrono::seconds(30);
+  const HttpAnswer broken = Exchange(io, client, request);
+  CHECK(broken.end == HttpEnd::kBroken);
+  CHECK(broken.body.empty());
+}
+
 TEST_CASE("an answer that is cut off at any byte is not whole") {
   asio::io_context io;
   HttpClient client(io);
