Entry hosts: a request stays non-idempotent when its class changes

Found by asking which other code judges a request by values that a later configuration changes; not reported.

Cause: the dispatcher read the idempotence of a request from its class at each retry and hedge. And a host whose configuration already had the change sent a request with a ticket, from a caller or forwarded, without claiming it, while other hosts still claimed the same ticket.

Evidence: "a request that must not run twice stays so when its class becomes idempotent" failed before in all six combinations (2 or 3 attempts instead of 1, and no refusal). "a request with a ticket is claimed although its class is idempotent by now" failed for valid tickets from callers and from hosts (sent to a server without a claim).

Change: a request keeps the idempotence that it was accepted with, from the router to the dispatcher. A ticket that the fleet has signed makes a request non-idempotent whatever its class says by now; other text in that header is ignored for idempotent classes, as before.

After: both tests and all others of test_policy and test_entry hold.

--- a/src/libentry/request_router.cc
+++ b/src/libentry/request_router.cc
@@ -88,15 +88,21 @@
   if (pending.call.depth >= options_.max_depth) {
     return refuse(unclaimed, 400, "too_deep");
   }
-  if (pending.class_item.idempotent || options_.naive) {
+  const bool needs_ticket = !pending.class_item.idempotent;
+  if (options_.naive || (!needs_ticket && !has_ticket)) {
     return true;
   }
   if (!has_ticket) {
     return refuse(RunOutcome::kNotRun, 400, "ticket_missing");
   }
   auto ticket = signer_.Read(pending.call.ticket, now.wall);
+  const bool expired = !ticket && ticket.error().code == ErrorCode::kExpired;
+  if (!ticket && !expired && !needs_ticket) {
+    return true;  // Not a ticket of this fleet, so nothing was promised.
+  }
+  // A ticket promises one run at most, also when its class has become idempotent since.
+  pending.class_item.idempotent = false;
   if (!ticket) {
-    const bool expired = ticket.error().code == ErrorCode::kExpired;
     return expired ? refuse(RunOutcome::kMayHaveRun, kStatusUnknownOutcome, "ticket_expired")
                    : refuse(RunOutcome::kNotRun, 400, "ticket_invalid");
   }
@@ -228,8 +234,12 @@
 void RequestRouter::SubmitToGroup(RequestId id, Instant now, EntryActions& actions) {
   PendingRequest& pending = pending_.at(id);
   pending.stage = Stage::kDispatched;
-  const RequestInfo request_info{id, pending.class_item.name, pending.arrived, pending.deadline,
-                                 pending.call.no_retry};
+  const RequestInfo request_info{id,
+                                 pending.class_item.name,
+                                 pending.arrived,
+                                 pending.deadline,
+                                 pending.call.no_retry,
+                                 pending.class_item.idempotent};
   GroupTable::GroupActions group_actions;
   groups_.Submit(pending.group, request_info, now.mono, group_actions);
   Apply(std::move(group_actions), now, actions);
--- a/src/libpolicy/group_dispatcher_attempts.cc
+++ b/src/libpolicy/group_dispatcher_attempts.cc
@@ -120,7 +120,7 @@
 BackendServer* GroupDispatcher::Impl::PickServer(const Request& request, bool healthy_only,
                                                  LimitShare share, TimePoint now) {
   PickCriteria criteria;
-  criteria.idempotent = request.class_state->target.idempotent;
+  criteria.idempotent = request.idempotent;
   criteria.tried = &request.tried;
   criteria.healthy_only = healthy_only;
   criteria.queued = std::max<std::size_t>(1, requests_.TotalQueued());
@@ -154,7 +154,7 @@
 /// Arms the hedge timer after a first attempt if the request may have a second one.
 void GroupDispatcher::Impl::ArmHedge(Request& request, TimePoint now) {
   const ClassState& class_state = *request.class_state;
-  if (!class_state.target.idempotent || request.no_retry || options_.max_attempts < 2) return;
+  if (!request.idempotent || request.no_retry || options_.max_attempts < 2) return;
   if (!class_state.latency.Ready()) return;
   const Duration min_delay = class_state.latency.Median() * kMinHedgeDelayPercent / 100;
   const TimePoint at = now + std::max(class_state.latency.P95(), min_delay);
@@ -167,7 +167,7 @@
   const ClassState& class_state = *request.class_state;
   if (draining_) return RefusalReason::kLeaving;
   if (class_state.removed) return RefusalReason::kServerFailed;
-  if (!class_state.target.idempotent && request.may_have_run) return RefusalReason::kServerFailed;
+  if (!request.idempotent && request.may_have_run) return RefusalReason::kServerFailed;
   if (request.no_retry || report.no_retry) return RefusalReason::kServerFailed;
   if (request.attempts >= options_.max_attempts) return RefusalReason::kAttemptsExhausted;
   if (now + class_state.latency.Median() >= request.deadline) {
--- a/src/libpolicy/group_dispatcher_impl.cc
+++ b/src/libpolicy/group_dispatcher_impl.cc
@@ -68,7 +68,7 @@
   if (request == nullptr) return;
   // Running attempts of a non-idempotent request continue: a caller that repeats the request gets
   // their outcome.
-  if (request->class_state->target.idempotent) CancelAttempts(*request, actions);
+  if (request->idempotent) CancelAttempts(*request, actions);
   const bool may_have_run = request->may_have_run || !request->running.empty();
   actions.emplace_back(RefuseRequest{id, RefusalReason::kCancelled, may_have_run});
   requests_.Close(*request);
--- a/src/libpolicy/request.h
+++ b/src/libpolicy/request.h
@@ -26,6 +26,8 @@
   /// Arrival plus the latency target of the class.
   TimePoint due;
   bool no_retry = false;
+  /// As when the request was accepted; a later change of its class does not matter.
+  bool idempotent = true;
   State state = State::kQueued;
   std::uint32_t attempts = 0;
   /// True once an attempt ended that a server may have run.
--- a/src/libpolicy/request_table.cc
+++ b/src/libpolicy/request_table.cc
@@ -12,6 +12,7 @@
   request.deadline = info.deadline;
   request.due = info.arrived + class_state.target.latency_target;
   request.no_retry = info.no_retry;
+  request.idempotent = info.idempotent && class_state.target.idempotent;
   request.state = Request::State::kQueued;
   request.attempts = 0;
   request.may_have_run = false;
--- a/src/libpolicy/types.h
+++ b/src/libpolicy/types.h
@@ -29,6 +29,8 @@
   TimePoint deadline;
   /// True when the request results from a retry elsewhere and so must not be retried here.
   bool no_retry = false;
+  /// False when the request must not run twice, even if its class is idempotent by now.
+  bool idempotent = true;
 };
 
 /// One backend server of a group, as the platform and the configuration describe it.
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -57,9 +57,9 @@
 /// HTTP/1.1 client over libcurl's multi interface on an Asio io_context, with persistent
 /// connections. A non-idempotent request is sent at most once: it gets a new connection, since
 /// libcurl resends a request when a reused connection turns out to be closed. An answer with
-/// neither Content-Length nor chunked encoding is kBroken as soon as its head has arrived, since its
-/// end can't be distinguished from a broken connection. Not thread safe: use it on the thread that runs the io_context, which
-/// must outlive it.
+/// neither Content-Length nor chunked encoding is kBroken as soon as its head has arrived, since
+/// its end can't be distinguished from a broken connection. Not thread safe: use it on the thread
+/// that runs the io_context, which must outlive it.
 class HttpClient {
  public:
   using Handle = std::uint64_t;
--- a/tests/entry/entry_host_test.cc
+++ b/tests/entry/entry_host_test.cc
@@ -101,6 +101,45 @@
   CHECK(fixture.TakeActions<SendToServer>().empty());
 }
 
+// Guards against a run without a claim where a host learns sooner than others that the class of a
+// request has become idempotent.
+TEST_CASE("a request with a ticket is claimed although its class is idempotent by now") {
+  Ticket ticket;
+  for (std::size_t i = 0; i < kClaimHolders; ++i) {
+    const std::string name = "b" + std::to_string(i + 1);
+    ticket.holders[i] = {HostName(name), StartId(1)};
+    ticket.peer_addresses[i] = "peer-" + name;
+  }
+  const TicketSigner signer(SingleHostFixture::Options().ticket_secret);
+  for (const std::string kind : {"valid", "expired", "not a ticket"}) {
+    for (const bool from_caller : {true, false}) {
+      CAPTURE(kind);
+      CAPTURE(from_caller);
+      SingleHostFixture fixture;
+      ticket.expires = fixture.now().wall + seconds(kind == "valid" ? 60 : -60);
+      const std::string text = kind == "not a ticket" ? "1234" : signer.Sign(ticket);
+      if (from_caller) {
+        fixture.SendRequest(1, "lookup", text);
+      } else {
+        ForwardRequest forward;
+        forward.id = RequestId(9);
+        forward.class_name = ClassName("lookup");
+        forward.data_centre = DataCentreName("a");
+        forward.method = "GET";
+        forward.path = "/slots";
+        forward.time_left = seconds(1);
+        forward.deadline = fixture.now().wall + seconds(1);
+        forward.ticket = text;
+        const PeerEnvelope envelope{{HostName("b1"), StartId(1)}, forward};
+        fixture.CollectActions([&](EntryActions& actions) {
+          fixture.host().OnPeer(envelope, fixture.now(), actions);
+        });
+      }
+      CHECK(fixture.TakeActions<SendToServer>().size() == (kind == "not a ticket" ? 1 : 0));
+    }
+  }
+}
+
 TEST_CASE("an address request fails for an unknown class or too few claim holders") {
   SingleHostFixture fixture;
   fixture.AppendClass("booking", false);
--- a/tests/entry/single_host_fixture.h
+++ b/tests/entry/single_host_fixture.h
@@ -119,12 +119,14 @@
     Append(ItemKind::kDataCentre, "a", item);
   }
 
-  void SendRequest(std::uint64_t id, const std::string& class_name = "lookup") {
+  void SendRequest(std::uint64_t id, const std::string& class_name = "lookup",
+                   const std::string& ticket = "") {
     CallerRequest call;
     call.id = RequestId(id);
     call.class_name = ClassName(class_name);
     call.method = "GET";
     call.path = "/slots";
+    call.ticket = ticket;
     CollectActions([&](EntryActions& actions) { host_.OnCaller(std::move(call), now_, actions); });
   }
 
--- a/tests/policy/failures_test.cc
+++ b/tests/policy/failures_test.cc
@@ -270,4 +270,32 @@
   CHECK(h.dispatcher.Idle());
 }
 
+// Guards against a second run of a request whose class is declared idempotent while it runs.
+TEST_CASE("a request that must not run twice stays so when its class becomes idempotent") {
+  enum class Change { kBeforeSubmit, kWhileRunning, kWhileRunningAfterRemoval };
+  const std::vector<ClassTarget> all_idempotent = {{Lookup(), true, 100 * kMs, 0.99},
+                                                   {Reserve(), true, 200 * kMs, 0.999}};
+  for (const bool server_fails : {false, true}) {
+    for (const Change change :
+         {Change::kBeforeSubmit, Change::kWhileRunning, Change::kWhileRunningAfterRemoval}) {
+      CAPTURE(server_fails);
+      CAPTURE(static_cast<int>(change));
+      Harness h(2);
+      h.WarmUp();
+      if (change == Change::kBeforeSubmit) h.SetClasses(all_idempotent);
+      h.Submit(Reserve(), 1000 * kMs, false, change != Change::kBeforeSubmit);
+      if (change == Change::kWhileRunningAfterRemoval) {
+        h.SetClasses({{Lookup(), true, 100 * kMs, 0.99}});
+      }
+      h.SetClasses(all_idempotent);
+      h.Run(400 * kMs);
+      CHECK(h.Count<StartDispatch>() == 1);
+      h.EndAll(server_fails ? DispatchResult::kServerError : DispatchResult::kBroken);
+      CHECK(h.Count<StartDispatch>() == 1);
+      CHECK(h.Count<RelayAnswer>() == (server_fails ? 1 : 0));
+      CHECK(h.Count<RefuseRequest>() == (server_fails ? 0 : 1));
+    }
+  }
+}
+
 }  // namespace mulberry
--- a/tests/policy/harness.cc
+++ b/tests/policy/harness.cc
@@ -1,6 +1,7 @@
 #include "harness.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberry {
 
@@ -50,14 +51,21 @@
   return actions;
 }
 
-RequestId Harness::Submit(const ClassName& name, Duration deadline, bool no_retry) {
+RequestId Harness::Submit(const ClassName& name, Duration deadline, bool no_retry,
+                          bool idempotent) {
   const RequestId id(++last_request);
   const std::size_t first_new = actions.size();
-  dispatcher.Submit({id, name, now, now + deadline, no_retry}, now, actions);
+  dispatcher.Submit({id, name, now, now + deadline, no_retry, idempotent}, now, actions);
   TrackStarted(first_new);
   return id;
 }
 
+void Harness::SetClasses(std::vector<ClassTarget> classes) {
+  const std::size_t first_new = actions.size();
+  dispatcher.SetClasses(std::move(classes), now, actions);
+  TrackStarted(first_new);
+}
+
 void Harness::End(DispatchId dispatch, DispatchResult result, bool no_retry) {
   DispatchReport report{dispatch, result, StartId(), no_retry};
   if (result == DispatchResult::kAnswered || result == DispatchResult::kServerError ||
--- a/tests/policy/harness.h
+++ b/tests/policy/harness.h
@@ -30,9 +30,10 @@
   const PolicyActions& Run(Duration time);
 
   RequestId Submit(const ClassName& name = Lookup(), Duration deadline = 1000 * kMs,
-                   bool no_retry = false);
+                   bool no_retry = false, bool idempotent = true);
   void End(DispatchId dispatch, DispatchResult result = DispatchResult::kAnswered,
            bool no_retry = false);
+  void SetClasses(std::vector<ClassTarget> classes);
   void EndAll(DispatchResult result = DispatchResult::kAnswered);
   void SetServers();
   void SetLimitShare(LimitShare share, Duration length = std::chrono::hours(1));
