Soak: the callers' key changes workspaces while requests wait

Now bursts of requests come together with one to four versions in quick succession that give the key another name, another priority or no workspace.

Not tried: the soak with the code before the mend.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -98,6 +98,10 @@
          [this, address, used = link.value()] { links_.Release(address, used); });
 }
 
+void Callers::Burst(std::size_t requests) {
+  for (std::size_t i = 0; i < requests; ++i) Send(Random(2) == 0 ? "here" : "there");
+}
+
 void Callers::SendOn(const std::shared_ptr<gateway::HttpClientConnection>& link,
                      const std::string& address, const std::string& kind,
                      std::function<void()> done) {
@@ -109,8 +113,9 @@
   running_[id] = link;
   gateway::ExchangeRequest request;
   request.head = fmt::format(
-      "{} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\nX-Request-Deadline: {}\r\n",
-      sent.unsafe ? "POST /write/x" : "GET /read/x", id, kDeadlineMs);
+      "{} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\nX-Request-Deadline: {}\r\n"
+      "Authorization: Bearer {}\r\n",
+      sent.unsafe ? "POST /write/x" : "GET /read/x", id, kDeadlineMs, kCallerKey);
   request.head += sent.unsafe ? "Content-Length: 4\r\n\r\nbody" : "\r\n";
   link->Exchange(std::move(request),
                  [this, id, done = std::move(done)](const gateway::ExchangeResult& answer) {
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -43,6 +43,9 @@
   void SendOn(const std::shared_ptr<gateway::HttpClientConnection>& link,
               const std::string& address, const std::string& kind, std::function<void()> done);
 
+  /// Sends many requests at once.
+  void Burst(std::size_t requests);
+
   /// Requests by id.
   const std::map<std::string, Sent>& sent() const { return sent_; }
   std::size_t running() const { return running_.size(); }
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -189,11 +189,22 @@
         R"("MaxConnections":220,"WarmupS":1.0,"WarmupPerS":50.0}}}})",
         service);
   }
+  if (workspace_) {
+    text += fmt::format(
+        R"(,{{"ResourceType":"Tenants","Metadata":{{"Name":"{}"}},"Spec":{{"ApiKeys":["{}"],)"
+        R"("Priority":{}}}}})",
+        workspace_->name, kCallerKey, workspace_->priority);
+  }
   text += R"(,{"ResourceType":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":8000,)"
           R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]})";
   PutOperator("config", text);
 }
 
+void Fleet::ConfigureWorkspace(std::optional<Workspace> workspace) {
+  workspace_ = std::move(workspace);
+  Configure(write_service_);
+}
+
 void Fleet::SetOut(const std::string& data_centre, bool out) {
   std::optional<std::string> value;
   if (out) value = "{}";
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -20,6 +20,15 @@
 constexpr std::chrono::milliseconds kLeavingBound{2000};
 constexpr std::chrono::seconds kGrace{6};
 
+/// The key of all callers.
+constexpr char kCallerKey[] = "soak-caller-key";
+
+/// The workspace that holds kCallerKey.
+struct Workspace {
+  std::string name;
+  std::size_t priority = 0;
+};
+
 /// One entry host: a real process, which reaches the store through a relay of its own.
 struct Host {
   std::string name;
@@ -84,6 +93,8 @@
   void Unregister(Backend& backend);
   /// Writes a new configuration in which writes go to this service.
   void Configure(const std::string& write_service);
+  /// Writes a new configuration with this workspace, or with none; later ones keep it.
+  void ConfigureWorkspace(std::optional<Workspace> workspace);
   void SetOut(const std::string& data_centre, bool out);
 
   /// Keeps a copy of the store's topics for FakeStore::Restore.
@@ -114,6 +125,7 @@
   /// What the operator has written since the copy, by key.
   std::map<std::string, std::optional<std::string>> operator_writes_;
   std::string write_service_;
+  std::optional<Workspace> workspace_;
   std::uint16_t store_port_ = 0;
   std::uint16_t peer_port_ = 0;
   std::uint16_t metrics_port_ = 0;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -13,6 +13,7 @@
 #include "soak/faults.h"
 #include "soak/faulty_servers.h"
 #include "soak/store_restores.h"
+#include "soak/workspace_changes.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the faults");
 ABSL_FLAG(int, fault_seconds, 12, "How long faults are injected");
@@ -38,6 +39,7 @@
         faults_(io_, fleet_, seed * 7919),
         restores_(io_, fleet_, seed * 104729),
         faulty_servers_(io_, fleet_, seed * 15485863),
+        workspace_changes_(io_, fleet_, callers_, seed * 32452843),
         busy_stops_(io_, fleet_, callers_, seed) {
     Prepare();
     RunFaults(fault_time);
@@ -86,7 +88,9 @@
     faults_.Start();
     restores_.Start();
     faulty_servers_.Start();
+    workspace_changes_.Start();
     RunFor(time);
+    workspace_changes_.Heal();
     restores_.Heal();
     faulty_servers_.Heal();
     faults_.Heal();
@@ -142,6 +146,7 @@
   Faults faults_;
   StoreRestores restores_;
   FaultyServers faulty_servers_;
+  WorkspaceChanges workspace_changes_;
   BusyStops busy_stops_;
   std::vector<std::string> broken_;
 };
