HTTP reader: a CR that ends no line is rejected in a head

A response "HTTP/1.1 200 OK<CR>XContent-Length: 1" was framed by a length that other parsers see in the reason phrase, and a head could end with CR and any other byte, which was lost.

Cause: the build of the HTTP parser in use is not strict; in two states it takes any byte after a CR for the line feed. The scan for folded lines also took empty lines before a message for the end of its head, so that folded lines in the head itself passed.

Change: the scan of a head starts at its start line and rejects a CR that is followed by anything but a line feed, before the parser sees the bytes. Bodies are not scanned.

--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -58,9 +58,9 @@
   message_.body.SetBudget(limits_.memory, Use());
   head_bytes_ = 0;
   last_was_value_ = false;
+  scan_position_ = ScanPosition::kEmptyLines;
   at_line_start_ = true;
-  in_header_lines_ = false;
-  folding_scan_done_ = false;
+  after_cr_ = false;
   complete_ = false;
   head_complete_ = false;
   started_ = false;
@@ -85,22 +85,37 @@
   return callbacks;
 }
 
-bool HttpReader::FindsFoldedLine(std::string_view bytes) {
+bool HttpReader::ScanHead(std::string_view bytes) {
   for (const char c : bytes) {
-    if (folding_scan_done_) return false;
-    if (at_line_start_ && in_header_lines_) {
-      if (c == ' ' || c == '\t') return true;
-      if (c == '\n') folding_scan_done_ = true;
+    if (scan_position_ == ScanPosition::kDone) return true;
+    // In some states the parser takes any byte after a CR for the line feed.
+    if (after_cr_ && c != '\n') return false;
+    after_cr_ = c == '\r';
+    if (after_cr_) continue;
+    const bool ends_line = c == '\n';
+    switch (scan_position_) {
+      case ScanPosition::kEmptyLines:
+        if (ends_line) continue;
+        scan_position_ = ScanPosition::kStartLine;
+        [[fallthrough]];
+      case ScanPosition::kStartLine:
+        if (ends_line) scan_position_ = ScanPosition::kHeaderLines;
+        break;
+      case ScanPosition::kHeaderLines:
+        if (at_line_start_ && (c == ' ' || c == '\t')) return false;
+        if (at_line_start_ && ends_line) scan_position_ = ScanPosition::kDone;
+        break;
+      case ScanPosition::kDone:
+        break;
     }
-    if (c == '\n') in_header_lines_ = true;
-    at_line_start_ = c == '\n' || (c == '\r' && at_line_start_);
+    at_line_start_ = ends_line;
   }
-  return false;
+  return true;
 }
 
 std::size_t HttpReader::Read(std::string_view bytes) {
   if (complete_ || error_ != ReadError::kNone || bytes.empty()) return 0;
-  if (FindsFoldedLine(bytes)) {
+  if (!ScanHead(bytes)) {
     error_ = ReadError::kMalformed;
     return bytes.size();
   }
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -61,6 +61,9 @@
   void Reset();
 
  private:
+  /// Where in a head the scan is.
+  enum class ScanPosition { kEmptyLines, kStartLine, kHeaderLines, kDone };
+
   static int OnBegin(http_parser* parser);
   static int OnUrl(http_parser* parser, const char* at, std::size_t length);
   static int OnStatus(http_parser* parser, const char* at, std::size_t length);
@@ -74,9 +77,9 @@
   MemoryBudget::Use Use() const {
     return kind_ == Kind::kRequest ? MemoryBudget::Use::kRequest : MemoryBudget::Use::kResponse;
   }
-  /// Returns true when a header line starts with white space and so would continue the previous
-  /// line.
-  bool FindsFoldedLine(std::string_view bytes);
+  /// Scans the bytes of a head for what the parser does not report. Returns false when a line
+  /// starts with white space and so would continue the previous one, or has a CR in it.
+  bool ScanHead(std::string_view bytes);
   int AddHeadBytes(std::size_t bytes);
   /// Reserves memory for the head as far as it was read. Returns false and sets the error if there
   /// is none.
@@ -90,10 +93,9 @@
   HttpMessage message_;
   std::size_t head_bytes_ = 0;
   bool last_was_value_ = false;
-  /// State of the scan for folded lines: at the start of a line; past the start line.
+  ScanPosition scan_position_ = ScanPosition::kEmptyLines;
   bool at_line_start_ = true;
-  bool in_header_lines_ = false;
-  bool folding_scan_done_ = false;
+  bool after_cr_ = false;
   bool expects_no_body_ = false;
   bool complete_ = false;
   bool head_complete_ = false;
--- a/tests/gateway/http_reader_test.cc
+++ b/tests/gateway/http_reader_test.cc
@@ -9,12 +9,20 @@
 
 constexpr ReadLimits kLimits{.max_head_bytes = 512, .max_body_bytes = 64};
 
-ReadError RequestError(const std::string& bytes) {
-  HttpReader reader(HttpReader::Kind::kRequest, kLimits);
+ReadError ErrorOf(HttpReader::Kind kind, const std::string& bytes) {
+  HttpReader reader(kind, kLimits);
   reader.Read(bytes);
   return reader.error();
 }
 
+ReadError RequestError(const std::string& bytes) {
+  return ErrorOf(HttpReader::Kind::kRequest, bytes);
+}
+
+ReadError ResponseError(const std::string& bytes) {
+  return ErrorOf(HttpReader::Kind::kResponse, bytes);
+}
+
 TEST_CASE(
     "a request parses the same byte by byte as in one piece, and later bytes are not consumed") {
   const std::string bytes =
@@ -56,6 +64,28 @@
   CHECK(RequestError("not http at all\r\n\r\n") == ReadError::kMalformed);
 }
 
+TEST_CASE("folded lines are found behind empty lines before a message") {
+  CHECK(RequestError("\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n") ==
+        ReadError::kMalformed);
+  CHECK(ResponseError("\n\nHTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 0\r\n\r\n") ==
+        ReadError::kMalformed);
+  CHECK(RequestError("\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\nX: a\r\n\r\n") == ReadError::kNone);
+}
+
+TEST_CASE("a CR that ends no line is rejected in a head, and is a usual byte in a body") {
+  CHECK(RequestError("GET / HTTP/1.1\rXHost: h\r\n\r\n") == ReadError::kMalformed);
+  CHECK(RequestError("GET / HTTP/1.1\r\nHost: h\rX: 1\r\n\r\n") == ReadError::kMalformed);
+  CHECK(RequestError("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\rXb") ==
+        ReadError::kMalformed);
+  CHECK(ResponseError("HTTP/1.1 200 OK\rXContent-Length: 1\r\n\r\nb") == ReadError::kMalformed);
+  CHECK(ResponseError("HTTP/1.1 200 OK\r\nX: 1\rContent-Length: 1\r\n\r\nb") ==
+        ReadError::kMalformed);
+  CHECK(ResponseError("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\rXb") == ReadError::kMalformed);
+  CHECK(ResponseError("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na\rb") == ReadError::kNone);
+  CHECK(RequestError("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n\rab") ==
+        ReadError::kNone);
+}
+
 TEST_CASE("too large heads and bodies have their own errors") {
   CHECK(RequestError("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'a') + "\r\n\r\n") ==
         ReadError::kHeadTooLarge);
