Gateway: a response with an invalid status line is not relayed

What callers saw: a server in trouble sent an answer with status 000, and the gateway handed it on as an answer. So it did with 001 to 099, 600 to 999, statuses of one or two digits, "0200", two spaces before the status, HTTP/2.0 or HTTP/0.9, other letters than HTTP, and control characters in the reason phrase. A 0503 with the statement that the request has not run was believed, and an unsafe request was sent to a second server.

Cause: the parser takes any digits up to 999 for a status, and nothing judged the status line before the fields of the head were believed. Every reader of the gateway shares the parser: responses to requests, health checks and the responses of the store.

A server that went on so was never set aside, as its responses counted as answers.

Such a response ends the attempt as broken: it proves nothing, an unsafe request is answered 502 and not sent again, an idempotent one goes to another server, and the server counts as failing. attempt_failed says "invalid status line in the response".

--- a/src/libgateway/caller_server.cc
+++ b/src/libgateway/caller_server.cc
@@ -26,6 +26,7 @@
     case ReadError::kBodyTooLarge:
       return "HTTP/1.1 413 Content Too Large\r\n";
     case ReadError::kMalformed:
+    case ReadError::kInvalidStatusLine:
     case ReadError::kSecondHead:
     case ReadError::kMemoryFull:
     case ReadError::kNone:
--- a/src/libgateway/http_client_connection.cc
+++ b/src/libgateway/http_client_connection.cc
@@ -31,6 +31,8 @@
       return "no memory for the response body";
     case ReadError::kSecondHead:
       return "status line within a response head";
+    case ReadError::kInvalidStatusLine:
+      return "invalid status line in the response";
     case ReadError::kMalformed:
     case ReadError::kNone:
       break;
@@ -206,7 +208,7 @@
 /// Returns true when the message was skipped and another one is expected.
 bool HttpClientConnection::ProcessMessage() {
   HttpMessage& message = reader_.message();
-  const bool interim = message.status >= 100 && message.status < 200;
+  const bool interim = IsInterimStatus(message.status);
   const std::string* id =
       request_.id_header.empty() ? nullptr : FindHeader(message.headers, request_.id_header);
   // A request without an id is not the one that a response with an id answers, unless the server
--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -18,12 +18,8 @@
 constexpr std::size_t kHeadByteMemory = 2;
 /// Memory for a head is reserved in steps of this size.
 constexpr std::size_t kHeadMemoryStep = 1024;
-
-bool IsTokenCharacter(unsigned char c) {
-  constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
-  return (std::isalnum(c) != 0) ||
-         kTokenPunctuation.find(static_cast<char>(c)) != std::string_view::npos;
-}
+/// The part of a status line that is kept: "HTTP/1.1 200 ".
+constexpr std::size_t kKeptStartLine = 13;
 
 bool IsDigit(char c) { return std::isdigit(static_cast<unsigned char>(c)) != 0; }
 
@@ -43,7 +39,16 @@
   return false;
 }
 
-bool IsControl(unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; }
+ReadError ToReadError(http_errno error) {
+  switch (error) {
+    case HPE_HEADER_OVERFLOW:
+      return ReadError::kHeadTooLarge;
+    case HPE_INVALID_STATUS:
+      return ReadError::kInvalidStatusLine;
+    default:
+      return ReadError::kMalformed;
+  }
+}
 
 HttpReader* ReaderOf(http_parser* parser) { return static_cast<HttpReader*>(parser->data); }
 
@@ -61,6 +66,7 @@
   scan_position_ = ScanPosition::kEmptyLines;
   at_line_start_ = true;
   after_cr_ = false;
+  start_line_.clear();
   complete_ = false;
   head_complete_ = false;
   started_ = false;
@@ -99,7 +105,11 @@
         scan_position_ = ScanPosition::kStartLine;
         [[fallthrough]];
       case ScanPosition::kStartLine:
-        if (ends_line) scan_position_ = ScanPosition::kHeaderLines;
+        if (ends_line) {
+          scan_position_ = ScanPosition::kHeaderLines;
+        } else if (start_line_.size() < kKeptStartLine) {
+          start_line_ += c;
+        }
         break;
       case ScanPosition::kHeaderLines:
         if (at_line_start_ && (c == ' ' || c == '\t')) return false;
@@ -126,9 +136,7 @@
     return used;
   }
   if (error != HPE_OK || parser_.upgrade != 0) {
-    if (error_ == ReadError::kNone) {
-      error_ = error == HPE_HEADER_OVERFLOW ? ReadError::kHeadTooLarge : ReadError::kMalformed;
-    }
+    if (error_ == ReadError::kNone) error_ = ToReadError(error);
   }
   return used;
 }
@@ -199,46 +207,39 @@
   return self->AddHeadBytes(length);
 }
 
-bool HttpReader::IsHeadValid() const {
-  if (kind_ == Kind::kRequest &&
-      std::any_of(message_.target.begin(), message_.target.end(),
-                  [](char c) { return IsControl(static_cast<unsigned char>(c)) || c == ' '; })) {
-    return false;
+ReadError HttpReader::CheckHead() const {
+  if (kind_ == Kind::kRequest) {
+    const bool target_valid =
+        IsFieldValue(message_.target) && message_.target.find(' ') == std::string::npos;
+    return target_valid && AreFieldsValid() ? ReadError::kNone : ReadError::kMalformed;
+  }
+  if (ContainsSecondHead()) return ReadError::kSecondHead;
+  if (!ParseStatusLine(start_line_) || !IsFieldValue(message_.reason)) {
+    return ReadError::kInvalidStatusLine;
   }
+  return AreFieldsValid() ? ReadError::kNone : ReadError::kMalformed;
+}
+
+bool HttpReader::AreFieldsValid() const {
   int hosts = 0;
   for (const auto& [name, value] : message_.headers) {
-    if (name.empty() || !std::all_of(name.begin(), name.end(), [](char c) {
-          return IsTokenCharacter(static_cast<unsigned char>(c));
-        })) {
-      return false;
-    }
-    if (std::any_of(value.begin(), value.end(),
-                    [](char c) { return IsControl(static_cast<unsigned char>(c)); })) {
-      return false;
-    }
+    if (!IsFieldName(name) || !IsFieldValue(value)) return false;
     if (EqualsIgnoreCase(name, "host")) ++hosts;
   }
   return hosts <= 1;
 }
 
 bool HttpReader::ContainsSecondHead() const {
-  return kind_ == Kind::kResponse &&
-         (ContainsStatusLine(message_.reason) ||
-          std::any_of(message_.headers.begin(), message_.headers.end(),
-                      [](const auto& header) { return ContainsStatusLine(header.second); }));
+  return ContainsStatusLine(message_.reason) ||
+         std::any_of(message_.headers.begin(), message_.headers.end(),
+                     [](const auto& header) { return ContainsStatusLine(header.second); });
 }
 
 int HttpReader::OnHead(http_parser* parser) {
   HttpReader* self = ReaderOf(parser);
   self->head_complete_ = true;
-  if (self->ContainsSecondHead()) {
-    self->error_ = ReadError::kSecondHead;
-    return -1;
-  }
-  if (!self->IsHeadValid()) {
-    self->error_ = ReadError::kMalformed;
-    return -1;
-  }
+  self->error_ = self->CheckHead();
+  if (self->error_ != ReadError::kNone) return -1;
   HttpMessage& message = self->message_;
   for (auto& [name, value] : message.headers) {
     value = std::string(Trim(value));
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -14,6 +14,7 @@
 enum class ReadError {
   kNone,
   kMalformed,
+  kInvalidStatusLine,  ///< Responses only.
   kSecondHead,  ///< A response's head was cut off and continued by the start of another response.
   kHeadTooLarge,
   kBodyTooLarge,
@@ -27,10 +28,11 @@
   MemoryBudget* memory = nullptr;
 };
 
-/// Parses the HTTP/1.1 messages of one connection, one at a time. Rejects messages that other
-/// parsers may interpret differently: a space before a header's colon, folded lines, Content-Length
-/// together with chunks, bare control characters, a status line within a response's head. Not
-/// thread safe.
+/// Parses the HTTP/1.1 messages of one connection, one at a time. A head is checked as a whole
+/// before any field of it is used: messages that the standard rules out or that other parsers may
+/// interpret differently are rejected. Such are an invalid status line, a field name that is no
+/// token, folded lines, bare control characters, Content-Length together with chunks, and a status
+/// line within a response's head. Not thread safe.
 class HttpReader {
  public:
   enum class Kind { kRequest, kResponse };
@@ -84,7 +86,8 @@
   /// Reserves memory for the head as far as it was read. Returns false and sets the error if there
   /// is none.
   bool ReserveHead();
-  bool IsHeadValid() const;
+  ReadError CheckHead() const;
+  bool AreFieldsValid() const;
   bool ContainsSecondHead() const;
 
   Kind kind_;
@@ -96,6 +99,7 @@
   ScanPosition scan_position_ = ScanPosition::kEmptyLines;
   bool at_line_start_ = true;
   bool after_cr_ = false;
+  std::string start_line_;  ///< Its first bytes, up to the status of a response.
   bool expects_no_body_ = false;
   bool complete_ = false;
   bool head_complete_ = false;
