Gateway: a response with an invalid line in its trailer is not relayed

What callers saw: a chunked response whose trailer had a field name with a space ("X-A : 1", "X A: 1", " X-A: 1") was handed on as sound. The trailer itself was dropped, so the line did not reach them.

Cause: names and values were checked at the end of the head only; the lines of a trailer were counted and dropped unread, and the parser accepts spaces.

Held already: a name with a space before the colon or within it, a tab, NUL, DEL, another control character or a byte above 0x7f, a missing colon or name, and control characters in values are rejected in every other place: first, middle or last line of a head, of an interim head, and of the head after one.

Change: names and values of trailers are checked by the same rules as those of heads, as they come.

--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -188,11 +188,19 @@
   return self->AddHeadBytes(length);
 }
 
+int HttpReader::OnTrailerPiece(std::size_t length, bool valid) {
+  if (valid) return AddHeadBytes(length);
+  error_ = ReadError::kMalformed;
+  return 1;
+}
+
 int HttpReader::OnField(http_parser* parser, const char* at, std::size_t length) {
   HttpReader* self = ReaderOf(parser);
   HeaderList& headers = self->message_.headers;
-  // Trailers are not relayed, so they are dropped.
-  if (self->head_complete_) return self->AddHeadBytes(length);
+  if (self->head_complete_) {
+    // The parser passes a name in pieces, of which one may be empty.
+    return self->OnTrailerPiece(length, length == 0 || IsFieldName({at, length}));
+  }
   if (headers.empty() || self->last_was_value_) headers.emplace_back();
   self->last_was_value_ = false;
   headers.back().first.append(at, length);
@@ -201,7 +209,7 @@
 
 int HttpReader::OnValue(http_parser* parser, const char* at, std::size_t length) {
   HttpReader* self = ReaderOf(parser);
-  if (self->head_complete_) return self->AddHeadBytes(length);
+  if (self->head_complete_) return self->OnTrailerPiece(length, IsFieldValue({at, length}));
   self->last_was_value_ = true;
   self->message_.headers.back().second.append(at, length);
   return self->AddHeadBytes(length);
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -83,6 +83,8 @@
   /// starts with white space and so would continue the previous one, or has a CR in it.
   bool ScanHead(std::string_view bytes);
   int AddHeadBytes(std::size_t bytes);
+  /// Trailers are not relayed, so they are checked and dropped.
+  int OnTrailerPiece(std::size_t length, bool valid);
   /// Reserves memory for the head as far as it was read. Returns false and sets the error if there
   /// is none.
   bool ReserveHead();
--- a/tests/gateway/invalid_response_test.cc
+++ b/tests/gateway/invalid_response_test.cc
@@ -48,6 +48,10 @@
   CheckRejected(ResponsesWithInvalidStatusLine(kOwnLines));
 }
 
+TEST_CASE("a response with an invalid line in a head or trailer is rejected in whatever pieces") {
+  CheckRejected(ResponsesWithInvalidField(kOwnLines));
+}
+
 TEST_CASE("unusual responses that the standard allows are read") {
   for (const RawResponse& response : UnusualResponses(kOwnLines)) {
     CAPTURE(response.name);
--- a/tests/transport/invalid_responses.h
+++ b/tests/transport/invalid_responses.h
@@ -63,6 +63,20 @@
   return lines;
 }
 
+/// Header lines that RFC 9112 rules out.
+inline std::vector<std::string> InvalidFieldLines() {
+  return {"X-A : 1",      "X A: 1",         "X-A  : 1",
+          " X-A: 1",      "\tX-A: 1",       "X-A\t: 1",
+          "X\tA: 1",      Bytes("X\0A: 1"), "X\001A: 1",
+          "X\037A: 1",    "X\177A: 1",      "X\351A: 1",
+          "X\303\251: 1", "X\r: 1",         "X(A): 1",
+          "X/A: 1",       "\"X\": 1",       "X@A: 1",
+          ": 1",          " : 1",           "no colon",
+          "X-A",          " folded",        "HTTP/1.1 200 OK",
+          "HTTP/1.1: 1",  "X-A: a\001z",    Bytes("X-A: a\0z"),
+          "X-A: a\177z",  "X-A: a\rz",      "X-A: a\033z"};
+}
+
 /// A response with these header lines, which are the usual ones of a sound response to the request,
 /// each with its line end, and with `body`.
 inline std::string SoundResponse(const std::string& lines, const std::string& body) {
@@ -86,8 +100,40 @@
   return responses;
 }
 
+/// Responses with an invalid header line at any place of a head or a trailer.
+inline std::vector<RawResponse> ResponsesWithInvalidField(const std::string& lines) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string early = "HTTP/1.1 103 Early Hints\r\n";
+  const std::string length = "Content-Length: 6\r\n";
+  const std::string body = "\r\nbroken";
+  const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n";
+  const std::string sound = "\r\n" + SoundResponse(lines, "sound");
+  std::vector<RawResponse> responses;
+  for (const std::string& field : InvalidFieldLines()) {
+    const std::string line = field + "\r\n";
+    const auto add = [&](std::string_view place, std::string bytes) {
+      responses.push_back({Join({place, ": ", Printable(field)}), std::move(bytes)});
+    };
+    add("first line", Join({ok, line, lines, length, body}));
+    add("middle line", Join({ok, lines, line, length, body}));
+    add("last line", Join({ok, lines, length, line, body}));
+    add("first line of an interim head", Join({early, line, sound}));
+    add("last line of an interim head", Join({early, "X-B: 2\r\n", line, sound}));
+    add("first line after an interim head", Join({early, "\r\n", ok, line, lines, length, body}));
+    add("first line of a trailer", Join({ok, lines, chunks, line, "\r\n"}));
+    // A folded line belongs to the value before it, and no one reads the values of a trailer.
+    if (field.front() == ' ' || field.front() == '\t') continue;
+    add("last line of a trailer", Join({ok, lines, chunks, "X-B: 2\r\n", line, "\r\n"}));
+  }
+  return responses;
+}
+
+/// All of the above.
 inline std::vector<RawResponse> InvalidResponses(const std::string& lines) {
-  return ResponsesWithInvalidStatusLine(lines);
+  std::vector<RawResponse> responses = ResponsesWithInvalidStatusLine(lines);
+  const std::vector<RawResponse> more = ResponsesWithInvalidField(lines);
+  responses.insert(responses.end(), more.begin(), more.end());
+  return responses;
 }
 
 /// Unusual responses that the standard allows, with the body "sound".
