Gateway: a response whose length the standard rules out is not relayed

What callers saw: a 204 with "Content-Length: 6" or chunks came with those bytes behind its head, where the caller expects the next response; a body under a transfer coding that no one asked for was handed on still encoded, without the header that says so; bytes behind an interim head were taken for its body, and what followed them for the response.

Cause: the parser believes any Content-Length and any chunks, also of responses that have no body, and takes a body under an unknown transfer coding as it is. The gateway drops Transfer-Encoding as a header of the connection.

Held already: a space or tab before the colon of Content-Length or Transfer-Encoding, a folded one, two lengths, a list, a sign, other characters, an empty or overlong length, and a length beside chunks are rejected before the body is read, although the parser itself frames the body by "Content-Length :". The test of them stays.

Change: Transfer-Encoding must be "chunked", once; an interim response and a 204 must have neither it nor a Content-Length above 0. A length of 0 there does no harm and is common, so it is accepted.

--- a/src/libgateway/http_reader.cc
+++ b/src/libgateway/http_reader.cc
@@ -225,7 +225,7 @@
   if (!ParseStatusLine(start_line_) || !IsFieldValue(message_.reason)) {
     return ReadError::kInvalidStatusLine;
   }
-  return AreFieldsValid() ? ReadError::kNone : ReadError::kMalformed;
+  return AreFieldsValid() && IsLengthValid() ? ReadError::kNone : ReadError::kMalformed;
 }
 
 bool HttpReader::AreFieldsValid() const {
@@ -237,6 +237,16 @@
   return hosts <= 1;
 }
 
+bool HttpReader::IsLengthValid() const {
+  int codings = 0;
+  for (const auto& [name, value] : message_.headers) {
+    if (!EqualsIgnoreCase(name, "transfer-encoding")) continue;
+    if (++codings > 1 || !EqualsIgnoreCase(Trim(value), "chunked")) return false;
+  }
+  if (!MustNotStateLength(static_cast<int>(parser_.status_code))) return true;
+  return codings == 0 && (parser_.content_length == ULLONG_MAX || parser_.content_length == 0);
+}
+
 bool HttpReader::ContainsSecondHead() const {
   return ContainsStatusLine(message_.reason) ||
          std::any_of(message_.headers.begin(), message_.headers.end(),
--- a/src/libgateway/http_reader.h
+++ b/src/libgateway/http_reader.h
@@ -31,8 +31,9 @@
 /// Parses the HTTP/1.1 messages of one connection, one at a time. A head is checked as a whole
 /// before any field of it is used: messages that the standard rules out or that other parsers may
 /// interpret differently are rejected. Such are an invalid status line, a field name that is no
-/// token, folded lines, bare control characters, Content-Length together with chunks, and a status
-/// line within a response's head. Not thread safe.
+/// token, folded lines, bare control characters, Content-Length together with chunks, a length
+/// where no body can be, a transfer coding that was not asked for, and a status line within a
+/// response's head. Not thread safe.
 class HttpReader {
  public:
   enum class Kind { kRequest, kResponse };
@@ -90,6 +91,9 @@
   bool ReserveHead();
   ReadError CheckHead() const;
   bool AreFieldsValid() const;
+  /// Checks what tells the length of a response. The parser itself rejects a Content-Length that is
+  /// no number, is repeated or is accompanied by chunks.
+  bool IsLengthValid() const;
   bool ContainsSecondHead() const;
 
   Kind kind_;
--- a/tests/gateway/invalid_response_test.cc
+++ b/tests/gateway/invalid_response_test.cc
@@ -52,6 +52,10 @@
   CheckRejected(ResponsesWithInvalidField(kOwnLines));
 }
 
+TEST_CASE("a response whose length is invalid is rejected, in whatever pieces it arrives") {
+  CheckRejected(ResponsesWithInvalidLength(kOwnLines));
+}
+
 TEST_CASE("unusual responses that the standard allows are read") {
   for (const RawResponse& response : UnusualResponses(kOwnLines)) {
     CAPTURE(response.name);
--- a/tests/transport/invalid_responses.h
+++ b/tests/transport/invalid_responses.h
@@ -128,11 +128,58 @@
   return responses;
 }
 
+/// Responses whose body would end elsewhere if the invalid line were believed or ignored.
+inline std::vector<RawResponse> ResponsesWithInvalidLength(const std::string& lines) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n" + lines;
+  const std::string no_content = "HTTP/1.1 204 No Content\r\n" + lines;
+  const std::string early = "HTTP/1.1 103 Early Hints\r\n";
+  const std::string chunks = "\r\n6\r\nbroken\r\n0\r\n\r\n";
+  return {
+      {"blank after Content-Length", ok + "Content-Length : 3\r\n\r\nbroken"},
+      {"tab after Content-Length", ok + "Content-Length\t: 3\r\n\r\nbroken"},
+      {"blank before Content-Length", ok + " Content-Length: 3\r\n\r\nbroken"},
+      {"folded Content-Length", ok + "Content-Length:\r\n 3\r\n\r\nbroken"},
+      {"folded digits", ok + "Content-Length: 3\r\n 3\r\n\r\nbroken"},
+      {"length beside one with a blank",
+       ok + "Content-Length: 6\r\nContent-Length : 3\r\n\r\nbroken"},
+      {"blank after Transfer-Encoding", ok + "Transfer-Encoding : chunked\r\n" + chunks},
+      {"length beside chunks with a blank",
+       ok + "Content-Length: 3\r\nTransfer-Encoding : chunked\r\n" + chunks},
+      {"a head that ends with CR", ok + "Content-Length: 6\r\n\rXbroken"},
+      {"two lengths", ok + "Content-Length: 3\r\nContent-Length: 6\r\n\r\nbroken"},
+      {"the same length twice", ok + "Content-Length: 6\r\nContent-Length: 6\r\n\r\nbroken"},
+      {"a list of lengths", ok + "Content-Length: 6, 6\r\n\r\nbroken"},
+      {"a length with other characters", ok + "Content-Length: 3x\r\n\r\nbroken"},
+      {"a length with a sign", ok + "Content-Length: +6\r\n\r\nbroken"},
+      {"a negative length", ok + "Content-Length: -1\r\n\r\nbroken"},
+      {"a hexadecimal length", ok + "Content-Length: 0x6\r\n\r\nbroken"},
+      {"an empty length", ok + "Content-Length:\r\n\r\nbroken"},
+      {"a length beyond 64 bits", ok + "Content-Length: 18446744073709551622\r\n\r\nbroken"},
+      {"a length and chunks", ok + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n" + chunks},
+      {"chunks and a length", ok + "Transfer-Encoding: chunked\r\nContent-Length: 6\r\n" + chunks},
+      {"a coding that was not asked for", ok + "Transfer-Encoding: x-code\r\n\r\nbroken"},
+      {"an empty coding", ok + "Transfer-Encoding:\r\n\r\nbroken"},
+      {"a coding under the chunks", ok + "Transfer-Encoding: x-code, chunked\r\n" + chunks},
+      {"chunks under a coding", ok + "Transfer-Encoding: chunked, x-code\r\n" + chunks},
+      {"chunks twice",
+       ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks},
+      {"a length of 204", no_content + "Content-Length: 6\r\n\r\nbroken"},
+      {"chunks of 204", no_content + "Transfer-Encoding: chunked\r\n" + chunks},
+      {"a length of an interim response",
+       early + "Content-Length: 6\r\n\r\nbroken" + SoundResponse(lines, "sound")},
+      {"a length of an interim response without its body",
+       early + "Content-Length: 6\r\n\r\n" + SoundResponse(lines, "sound")},
+      {"chunks of an interim response",
+       early + "Transfer-Encoding: chunked\r\n" + chunks + SoundResponse(lines, "sound")},
+  };
+}
+
 /// All of the above.
 inline std::vector<RawResponse> InvalidResponses(const std::string& lines) {
   std::vector<RawResponse> responses = ResponsesWithInvalidStatusLine(lines);
-  const std::vector<RawResponse> more = ResponsesWithInvalidField(lines);
-  responses.insert(responses.end(), more.begin(), more.end());
+  for (auto& more : {ResponsesWithInvalidField(lines), ResponsesWithInvalidLength(lines)}) {
+    responses.insert(responses.end(), more.begin(), more.end());
+  }
   return responses;
 }
 
