HTTP client: an easy handle of libcurl serves one exchange

What callers saw: the process of an entry host ended, and all connections of callers with it, when a server sent a head whose first line begins with a space or tab. Both hosts of a fleet ended when each had met such an answer.

Cause: libcurl 7.88.1 keeps a pointer to the last header line of a handle's exchange before and frees that line when the next one begins. A first line that begins with white space is appended to it. HttpClient kept up to 512 handles for later exchanges.

Evidence: "a head that starts with white space does not end the process" ended with a segmentation fault at its first such head; AddressSanitizer shows heap-use-after-free in libcurl under curl_multi_socket_action. With the change it passes, and under AddressSanitizer libcurl reports an error for each.

Change: each exchange has a handle of its own. Connections are kept by the multi handle, so they are reused as before ("consecutive idempotent requests reuse a connection"). The limit on the heads of idle handles goes with them.

--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -7,7 +7,6 @@
 #include <asio/post.hpp>
 #include <cctype>
 #include <charconv>
-#include <mutex>
 #include <unordered_map>
 
 #include "libtransport/curl_driver.h"
@@ -24,10 +23,6 @@
     3 * sizeof(decltype(HttpAnswer::headers)::value_type) + 128;
 /// Copies of a header line's text: libcurl's and the answer's.
 constexpr std::size_t kHeaderTextCopies = 2;
-constexpr std::size_t kMaxIdleExchanges = 512;
-/// libcurl keeps the header lines of the last answer, so an exchange with more of them than usual
-/// is not kept.
-constexpr std::size_t kMaxIdleHeadMemory = 16 * 1024;
 
 bool HasControlCharacter(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char character) {
@@ -55,7 +50,9 @@
   return {url.substr(0, target), std::move(path)};
 }
 
-/// One HTTP exchange on its libcurl easy handle; both are reused for later exchanges.
+/// One HTTP exchange on its own libcurl easy handle. Handles are not reused: libcurl 7.88.1 keeps a
+/// pointer to the last header line of the exchange before, which it has freed, and follows it if
+/// the next head starts with white space.
 class Exchange {
  public:
   Exchange() : easy_(curl_easy_init()) { SetConstantOptions(); }
@@ -70,11 +67,8 @@
   std::string Prepare(HttpRequest request, bool idempotent, HttpClient::Callback done);
   /// Returns the result of an ended transfer.
   HttpAnswer Finish(CURLcode code);
-  void Clear();
 
   CURL* easy() const { return easy_; }
-  /// Estimated memory of the head of the last answer, in bytes.
-  std::size_t head_memory() const { return head_memory_; }
   HttpClient::Handle id = 0;
   HttpClient::Callback done;
 
@@ -240,29 +234,6 @@
   return answer_.status != 204 && answer_.status != 304 && request_.method != "HEAD";
 }
 
-void Exchange::Clear() {
-  curl_slist_free_all(headers_);
-  headers_ = nullptr;
-  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, nullptr);
-  curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, nullptr);
-  curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);
-  request_ = HttpRequest();
-  answer_ = HttpAnswer();
-  done = nullptr;
-  id = 0;
-  memory_.Release();
-  head_bytes_ = 0;
-  head_memory_ = 0;
-  stated_length_ = 0;
-  send_count_ = 0;
-  has_body_framing_ = false;
-  head_complete_ = false;
-  too_large_ = false;
-  no_memory_ = false;
-  for_other_request_ = false;
-  error_[0] = 0;
-}
-
 void Exchange::OnHeaderLine(std::string_view line) {
   if (line.substr(0, 5) == "HTTP/") return OnStatusLine(line);
   // Lines after the head are trailers.
@@ -387,7 +358,7 @@
   }
 
   Handle Start(HttpRequest request, bool idempotent, Callback done) {
-    std::unique_ptr<Exchange> exchange = AcquireExchange();
+    auto exchange = std::make_unique<Exchange>();
     const Handle id = ++last_id_;
     exchange->id = id;
     std::string error_message = exchange->Prepare(std::move(request), idempotent, std::move(done));
@@ -405,23 +376,9 @@
     std::unique_ptr<Exchange> exchange = std::move(found->second);
     exchanges_.erase(found);
     driver_.Remove(exchange->easy());
-    ReleaseExchange(std::move(exchange));
   }
 
  private:
-  std::unique_ptr<Exchange> AcquireExchange() {
-    if (idle_.empty()) return std::make_unique<Exchange>();
-    std::unique_ptr<Exchange> exchange = std::move(idle_.back());
-    idle_.pop_back();
-    return exchange;
-  }
-
-  void ReleaseExchange(std::unique_ptr<Exchange> exchange) {
-    if (idle_.size() >= kMaxIdleExchanges || exchange->head_memory() > kMaxIdleHeadMemory) return;
-    exchange->Clear();
-    idle_.push_back(std::move(exchange));
-  }
-
   void PostFailure(Handle id, std::string error_message) {
     asio::post(io_, [this, weak = std::weak_ptr<int>(lifetime_token_), id,
                      error_message = std::move(error_message)] {
@@ -447,13 +404,12 @@
     std::unique_ptr<Exchange> exchange = std::move(found->second);
     exchanges_.erase(found);
     const Callback done = std::move(exchange->done);
-    ReleaseExchange(std::move(exchange));
+    exchange.reset();
     if (done) done(std::move(answer));
   }
 
   asio::io_context& io_;
   std::unordered_map<Handle, std::unique_ptr<Exchange>> exchanges_;
-  std::vector<std::unique_ptr<Exchange>> idle_;
   CurlDriver driver_;
   Handle last_id_ = 0;
   std::shared_ptr<int> lifetime_token_ = std::make_shared<int>(0);
