HTTP client: a head is judged by its own lines before it is believed

What callers saw: an entry host handed on answers whose status the standard rules out (600 to 999, "HTTP/2 200", "200:"), and answers with header lines that have spaces or control characters in the name or the value. A line "HTTP/1.1: 1" within a head dropped the lines before it. Of a head that libcurl itself rejected, the lines before the fault were kept: the start id and "no retry" of a server were believed from it.

Cause: the client took what libcurl passed on. libcurl checks a header line for a colon and NUL only, accepts any three digits as a status, and white space in front of a status line; the client's own reading of the lines was laxer still.

Held already: 000 to 099, one, two or four digits, a missing colon or NUL are no answers, and the request was sent once in all cases.

An invalid one ends the exchange as kBroken, which promises nothing, with a reason for server_answer_failed. Fields are dropped unless the head is whole. The HTTP server's check of names of requests uses the same rule; it held already.

--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -7,6 +7,7 @@
 #include <asio/post.hpp>
 #include <cctype>
 #include <charconv>
+#include <optional>
 #include <unordered_map>
 
 #include "libtransport/curl_driver.h"
@@ -50,6 +51,29 @@
   return {url.substr(0, target), std::move(path)};
 }
 
+/// Removes the line end, LF or CRLF, of a complete line.
+std::string_view WithoutLineEnd(std::string_view line) {
+  if (line.ends_with('\n')) line.remove_suffix(1);
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  return line;
+}
+
+/// A header line; the name in lower case.
+struct HeaderField {
+  std::string name;
+  std::string value;
+};
+
+/// Returns nothing for a line that the standard rules out. Precondition: without its line end.
+std::optional<HeaderField> ParseHeaderField(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = line.substr(colon + 1);
+  if (!IsFieldName(name) || !IsFieldValue(value)) return std::nullopt;
+  return HeaderField{LowerCase(name), std::string(Trim(value))};
+}
+
 /// One HTTP exchange on its own libcurl easy handle. Handles are not reused: libcurl 7.88.1 keeps a
 /// pointer to the last header line of the exchange before, which it has freed, and follows it if
 /// the next head starts with white space.
@@ -73,15 +97,23 @@
   HttpClient::Callback done;
 
  private:
+  /// What the next line from libcurl is a part of.
+  enum class Section { kStatusLine, kHeaderFields, kTrailer };
+
   void SetConstantOptions();
   std::string SetHeaders();
   bool AppendHeader(const std::string& line);
   void SetBody();
   bool ReserveMemory(std::size_t body_bytes);
-  bool AcceptHead();
-  void OnHeaderLine(std::string_view line);
-  void OnStatusLine(std::string_view line);
-  void OnHeaderField(std::string_view line);
+  /// The following check a line before any of it is used, and return false if the answer is not to
+  /// be received.
+  bool OnLine(std::string_view line);
+  bool OnStatusLine(std::string_view line);
+  bool OnHeaderField(std::string_view line);
+  bool OnHeadEnd();
+  bool OnTrailerField(std::string_view line);
+  bool Reject(const char* why);
+  void DiscardHead();
   /// Value of the header `id_header` of the request.
   std::string_view RequestIdValue() const;
   HttpEnd ToHttpEnd(CURLcode code) const;
@@ -101,10 +133,13 @@
   MemoryReservation memory_;
   std::size_t head_bytes_ = 0;
   std::size_t head_memory_ = 0;
-  std::size_t stated_length_ = 0;
+  Section section_ = Section::kStatusLine;
+  std::optional<std::uint64_t> stated_length_;
+  bool is_chunked_ = false;
+  /// Why a line of the answer was rejected; null if none was.
+  const char* invalid_line_ = nullptr;
   std::uint32_t send_count_ = 0;
   bool idempotent_ = true;
-  bool has_body_framing_ = false;
   /// libcurl reports no error for a connection that closes within the head if no body is expected.
   bool head_complete_ = false;
   bool too_large_ = false;
@@ -198,10 +233,14 @@
 }
 
 HttpAnswer Exchange::Finish(CURLcode code) {
+  // Nothing is believed of a head that libcurl or this class rejects, or that is cut off.
+  if (!head_complete_) answer_ = HttpAnswer();
   HttpAnswer answer = std::move(answer_);
   answer.end = ToHttpEnd(code);
   if (answer.end == HttpEnd::kAnswered) return answer;
-  if (too_large_) {
+  if (invalid_line_ != nullptr) {
+    answer.error = invalid_line_;
+  } else if (too_large_) {
     answer.error = "answer too large";
   } else if (no_memory_) {
     answer.error = "no memory for the answer";
@@ -228,46 +267,88 @@
 }
 
 /// A body that ends with the connection can't be distinguished from a truncated one.
-bool Exchange::IsBodyEndKnown() const { return has_body_framing_ || !HasBody(); }
+bool Exchange::IsBodyEndKnown() const {
+  return stated_length_.has_value() || is_chunked_ || !HasBody();
+}
 
 bool Exchange::HasBody() const {
   return answer_.status != 204 && answer_.status != 304 && request_.method != "HEAD";
 }
 
-void Exchange::OnHeaderLine(std::string_view line) {
-  if (line.substr(0, 5) == "HTTP/") return OnStatusLine(line);
-  // Lines after the head are trailers.
-  if (head_complete_) return;
-  head_complete_ = line == "\r\n" || line == "\n";
-  OnHeaderField(line);
+bool Exchange::OnLine(std::string_view line) {
+  line = WithoutLineEnd(line);
+  switch (section_) {
+    case Section::kStatusLine:
+      return OnStatusLine(line);
+    case Section::kHeaderFields:
+      return line.empty() ? OnHeadEnd() : OnHeaderField(line);
+    case Section::kTrailer:
+      return line.empty() || OnTrailerField(line);
+  }
+  return false;
 }
 
-/// Discards headers collected so far: they belong to an interim (1xx) response.
-void Exchange::OnStatusLine(std::string_view line) {
-  answer_.headers.clear();
-  stated_length_ = 0;
-  has_body_framing_ = false;
-  head_complete_ = false;
-  const std::size_t space = line.find(' ');
-  if (space == std::string_view::npos) return;
-  const std::string_view code = line.substr(space + 1, 3);
-  std::from_chars(code.data(), code.data() + code.size(), answer_.status);
+bool Exchange::OnStatusLine(std::string_view line) {
+  const auto status = ParseStatusLine(line);
+  if (!status) return Reject("invalid status line in the answer");
+  answer_.status = *status;
+  section_ = Section::kHeaderFields;
+  return true;
 }
 
-void Exchange::OnHeaderField(std::string_view line) {
-  const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return;
-  std::string name = LowerCase(Trim(line.substr(0, colon)));
-  std::string value(Trim(line.substr(colon + 1)));
-  if (name == "content-length") {
-    has_body_framing_ = true;
-    std::from_chars(value.data(), value.data() + value.size(), stated_length_);
+bool Exchange::OnHeaderField(std::string_view line) {
+  auto field = ParseHeaderField(line);
+  if (!field) return Reject("invalid header line in the answer");
+  if (field->name == "content-length") {
+    std::uint64_t length = 0;
+    std::from_chars(field->value.data(), field->value.data() + field->value.size(), length);
+    stated_length_ = length;
   }
-  if (name == "transfer-encoding") has_body_framing_ = true;
-  if (!request_.id_header.empty() && name == request_.id_header && value != RequestIdValue()) {
+  if (field->name == "transfer-encoding") is_chunked_ = true;
+  if (!request_.id_header.empty() && field->name == request_.id_header &&
+      field->value != RequestIdValue()) {
     for_other_request_ = true;
+    return false;
   }
-  answer_.headers.emplace_back(std::move(name), std::move(value));
+  answer_.headers.emplace_back(std::move(field->name), std::move(field->value));
+  return true;
+}
+
+/// Decides by the complete head whether the body is received.
+bool Exchange::OnHeadEnd() {
+  if (IsInterimStatus(answer_.status)) {
+    DiscardHead();
+    return true;
+  }
+  section_ = Section::kTrailer;
+  head_complete_ = true;
+  if (!IsBodyEndKnown()) return false;
+  if (!HasBody()) return true;
+  const std::uint64_t length = stated_length_.value_or(0);
+  if (length > request_.max_answer_bytes) {
+    too_large_ = true;
+    return false;
+  }
+  if (!ReserveMemory(length)) return false;
+  answer_.body.reserve(length);
+  return true;
+}
+
+bool Exchange::OnTrailerField(std::string_view line) {
+  return ParseHeaderField(line).has_value() || Reject("invalid trailer line in the answer");
+}
+
+bool Exchange::Reject(const char* why) {
+  invalid_line_ = why;
+  return false;
+}
+
+/// Prepares for the head that follows an interim one.
+void Exchange::DiscardHead() {
+  answer_ = HttpAnswer();
+  section_ = Section::kStatusLine;
+  stated_length_.reset();
+  is_chunked_ = false;
 }
 
 std::string_view Exchange::RequestIdValue() const {
@@ -285,21 +366,6 @@
   return !no_memory_;
 }
 
-/// Decides by the complete head whether the body is received. An interim (1xx) response has none.
-bool Exchange::AcceptHead() {
-  const bool is_interim = answer_.status >= 100 && answer_.status < 200;
-  if (is_interim) return true;
-  if (!IsBodyEndKnown()) return false;
-  if (!HasBody()) return true;
-  if (stated_length_ > request_.max_answer_bytes) {
-    too_large_ = true;
-    return false;
-  }
-  if (!ReserveMemory(stated_length_)) return false;
-  answer_.body.reserve(stated_length_);
-  return true;
-}
-
 std::size_t Exchange::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
   auto* exchange = static_cast<Exchange*>(self);
   const std::size_t bytes = size * count;
@@ -330,11 +396,7 @@
   }
   // Anything but `bytes` ends the transfer, and libcurl then closes the connection.
   if (!exchange->ReserveMemory(exchange->answer_.body.capacity())) return 0;
-  const bool is_trailer = exchange->head_complete_;
-  exchange->OnHeaderLine(std::string_view(data, bytes));
-  if (exchange->for_other_request_) return 0;
-  const bool ends_head = exchange->head_complete_ && !is_trailer;
-  return ends_head && !exchange->AcceptHead() ? 0 : bytes;
+  return exchange->OnLine(std::string_view(data, bytes)) ? bytes : 0;
 }
 
 /// Called by libcurl immediately before each send of the request. Aborts a resend of a
--- a/src/libtransport/http_server.cc
+++ b/src/libtransport/http_server.cc
@@ -158,11 +158,10 @@
   return result;
 }
 
-/// Rejects names with a space or a tab: the next hop may read "Content-Length : 3" as a length.
+/// The parser accepts spaces in names, and the next hop may read "Content-Length : 3" as a length.
 bool HasValidHeaderNames(const ServerRequest& request) {
-  return std::none_of(request.headers.begin(), request.headers.end(), [](const auto& header) {
-    return header.first.empty() || header.first.find_first_of(" \t") != std::string::npos;
-  });
+  return std::all_of(request.headers.begin(), request.headers.end(),
+                     [](const auto& header) { return IsFieldName(header.first); });
 }
 
 const char* ReasonPhrase(int status) {
