HTTP client: an answer with an invalid length is broken

What callers saw: an answer that was cut off could look complete. A head with "Content-Length: 3x", a sign, a list, a second length, one beyond 64 bits, or a length beside chunks was read by libcurl in one way and by the client in another: libcurl took the last of two lengths, read the digits in front, or read up to the end of the connection, while the client only looked whether there was such a field.

Change: a Content-Length must be digits, once; Transfer-Encoding must be "chunked", once; not both. Interim answers and 204 must have neither, except for a length of 0. The length that libcurl reads and the one that the client checks are then the same.

--- a/src/libtransport/http_client.cc
+++ b/src/libtransport/http_client.cc
@@ -6,7 +6,6 @@
 #include <array>
 #include <asio/post.hpp>
 #include <cctype>
-#include <charconv>
 #include <optional>
 #include <unordered_map>
 
@@ -301,10 +300,18 @@
   if (!field) return Reject("invalid header line in the answer");
   if (field->name == "content-length") {
     std::uint64_t length = 0;
-    std::from_chars(field->value.data(), field->value.data() + field->value.size(), length);
+    if (stated_length_ || !ParseNumber(field->value, &length)) {
+      return Reject("invalid Content-Length in the answer");
+    }
     stated_length_ = length;
   }
-  if (field->name == "transfer-encoding") is_chunked_ = true;
+  if (field->name == "transfer-encoding") {
+    // The client asks for no other coding.
+    if (is_chunked_ || !EqualsIgnoreCase(field->value, "chunked")) {
+      return Reject("invalid Transfer-Encoding in the answer");
+    }
+    is_chunked_ = true;
+  }
   if (!request_.id_header.empty() && field->name == request_.id_header &&
       field->value != RequestIdValue()) {
     for_other_request_ = true;
@@ -316,6 +323,11 @@
 
 /// Decides by the complete head whether the body is received.
 bool Exchange::OnHeadEnd() {
+  if (is_chunked_ && stated_length_) return Reject("answer with Content-Length and chunks");
+  const bool states_length = is_chunked_ || stated_length_.value_or(0) > 0;
+  if (states_length && MustNotStateLength(answer_.status)) {
+    return Reject("length in an answer without a body");
+  }
   if (IsInterimStatus(answer_.status)) {
     DiscardHead();
     return true;
--- a/tests/transport/invalid_answer_test.cc
+++ b/tests/transport/invalid_answer_test.cc
@@ -77,6 +77,10 @@
   CheckNotAnswered(ResponsesWithInvalidField(kOwnLines));
 }
 
+TEST_CASE("an answer with an invalid length is not an answer") {
+  CheckNotAnswered(ResponsesWithInvalidLength(kOwnLines));
+}
+
 TEST_CASE("unusual answers that the standard allows are answers") {
   for (const bool idempotent : {true, false}) {
     Fixture fixture;
