Entry hosts: another host's answer with an invalid status is not passed on

What callers saw: nothing yet. While a fleet is updated, hosts of the version before pass on any status of a backend server, and the host that a caller asked handed it on: as an answer, or as the outcome of a request whose ticket another host had claimed. 65736 became 200 in 16 bits.

Cause: the status in ForwardAnswer and OutcomeAnswer was believed as it came.

Change: an answer of another host must have a status of 200 to 599. Otherwise the request may have run: 504 "server_failed", counted as "invalid" in mulberry_forwards_total. It is not sent again.

--- a/src/libentry/claim_coordinator.cc
+++ b/src/libentry/claim_coordinator.cc
@@ -272,9 +272,15 @@
       it->second.initiator.request != message.id) {
     return;
   }
+  const int status = static_cast<int>(message.status);
+  if (message.outcome == RunOutcome::kAnswered && !IsFinalStatus(status)) {
+    // A host of an older version passes on any status.
+    EndWithoutClaim(it, MayHaveRun(RefusalReasonName(RefusalReason::kServerFailed)), events);
+    return;
+  }
   CallerAnswer answer;
   answer.outcome = message.outcome;
-  answer.status = message.status == 0 ? kStatusUnknownOutcome : static_cast<int>(message.status);
+  answer.status = message.status == 0 ? kStatusUnknownOutcome : status;
   answer.content_type = message.content_type;
   answer.body = message.body;
   if (message.outcome != RunOutcome::kAnswered) {
--- a/src/libentry/request_router_forwarding.cc
+++ b/src/libentry/request_router_forwarding.cc
@@ -114,14 +114,21 @@
   const bool awaiting_answer =
       pending.stage == Stage::kForwarded || pending.stage == Stage::kAwaitingReroute;
   const bool current = pending.stage == Stage::kForwarded && pending.forwards.back() == message.id;
+  const int status = static_cast<int>(message.status);
+  if (message.outcome == RunOutcome::kAnswered && !IsFinalStatus(status)) {
+    // A host of an older version passes on any status. The request may have run.
+    if (!current) return;
+    observer_.OnForward(pending.class_item.name, "invalid");
+    Complete(id,
+             UnansweredAnswer(RunOutcome::kMayHaveRun, kStatusUnknownOutcome,
+                              RefusalReasonName(RefusalReason::kServerFailed)),
+             now, actions);
+    return;
+  }
   if (message.outcome == RunOutcome::kAnswered && awaiting_answer) {
     observer_.OnForward(pending.class_item.name, "answered");
-    CallerAnswer answer{RunOutcome::kAnswered,
-                        static_cast<int>(message.status),
-                        "",
-                        message.content_type,
-                        message.body,
-                        message.server,
+    CallerAnswer answer{RunOutcome::kAnswered, status,       "",
+                        message.content_type,  message.body, message.server,
                         message.no_retry};
     Complete(id, std::move(answer), now, actions);
     return;
@@ -131,9 +138,7 @@
   }
   if (!message.saturated) {
     observer_.OnForward(pending.class_item.name, "refused");
-    Complete(id,
-             UnansweredAnswer(message.outcome, static_cast<int>(message.status), message.reason),
-             now, actions);
+    Complete(id, UnansweredAnswer(message.outcome, status, message.reason), now, actions);
     return;
   }
   observer_.OnForward(pending.class_item.name, message.not_owner ? "not_owner" : "saturated");
--- a/tests/entry/claim_coordinator_test.cc
+++ b/tests/entry/claim_coordinator_test.cc
@@ -161,6 +161,26 @@
   CHECK(cluster.answers().at(second).body == "done");
 }
 
+// Another host of an older version may pass on a status that no server may send.
+TEST_CASE("the outcome of a claimed request with an invalid status counts as unknown") {
+  for (const int status : {0, 99, 103, 600}) {
+    CAPTURE(status);
+    ClaimCluster cluster;
+    cluster.Begin("h0");
+    cluster.DeliverAll();
+    const RequestId second = cluster.Begin("h1");
+    cluster.DeliverAll();
+    CallerAnswer invalid = Answered();
+    invalid.status = status;
+    cluster.Finish("h0", invalid);
+    cluster.DeliverAll();
+    REQUIRE(cluster.answers().contains(second));
+    CHECK(cluster.answers().at(second).outcome == RunOutcome::kMayHaveRun);
+    CHECK(cluster.answers().at(second).status == 504);
+    CHECK(cluster.answers().at(second).body.empty());
+  }
+}
+
 TEST_CASE("not-run is reported to every attempt and prevents later ones from running") {
   ClaimCluster cluster;
   cluster.Begin("h0");
