HTTP client: document that an invalid head makes an answer broken

Comments only: the public headers say what an invalid line in a head or trailer leads to, and that the functions of http_syntax.h have no preconditions.

--- a/src/libbase/http_syntax.h
+++ b/src/libbase/http_syntax.h
@@ -6,7 +6,8 @@
 namespace mulberry {
 
 /// Rules of RFC 9110 and RFC 9112 for the head of an HTTP/1.1 message. All readers of messages
-/// share them, since the parser libraries are less strict. Any thread may call these functions.
+/// share them, since the parser libraries are less strict. Any thread may call these functions;
+/// they have no preconditions.
 
 /// True for one or more token characters. A space, a control character and any byte above 0x7f are
 /// none.
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -17,7 +17,7 @@
   kAnswered,        ///< A complete answer arrived.
   kConnectRefused,  ///< No connection was made; nothing was sent.
   kNotSent,         ///< Failed or timed out before the first byte of the request was written.
-  kBroken,          ///< Failed after bytes may have been written, before the complete answer.
+  kBroken,          ///< Failed after bytes may have been written, or the answer is invalid.
   kTimedOut,        ///< Timed out after bytes may have been written.
   kCancelled,
 };
@@ -58,8 +58,9 @@
 /// connections. A non-idempotent request is sent at most once: it gets a new connection, since
 /// libcurl resends a request when a reused connection turns out to be closed. An answer with
 /// neither Content-Length nor chunked encoding is kBroken as soon as its head has arrived, since
-/// its end can't be distinguished from a broken connection. Not thread safe: use it on the thread
-/// that runs the io_context, which must outlive it.
+/// its end can't be distinguished from a broken connection. An answer whose head or trailer has a
+/// line that the standard rules out (libbase/http_syntax.h) is kBroken at that line. Not thread
+/// safe: use it on the thread that runs the io_context, which must outlive it.
 class HttpClient {
  public:
   using Handle = std::uint64_t;
